--- /dev/null
+++ b/anvilmodel/answer.go
@@ -0,0 +1,97 @@
+package anvilmodel
+
+import "time"
+
+// Coverage says how much of a snapshot an answer covers.
+type Coverage struct {
+	Covered int
+	Total   int
+	Missing []Shard
+}
+
+// Ratio returns the covered share from 0 to 1. It is 0 when the total is unknown.
+func (c Coverage) Ratio() float64 {
+	if c.Total == 0 {
+		return 0
+	}
+	return float64(c.Covered) / float64(c.Total)
+}
+
+// Part is the reply of one shard.
+type Part struct {
+	Shard Shard
+	Body  []byte
+}
+
+// Answer is what a caller receives for a request that ran.
+type Answer struct {
+	RequestID RequestID
+	Snapshot  Snapshot
+	Coverage  Coverage
+	Parts     []Part
+	// Took is the time from arrival to completion at the node.
+	Took time.Duration
+}
+
+// RunState says whether a request was run.
+type RunState int
+
+// Run states. NotRun is only said when it is certain.
+const (
+	RunStateUnknown RunState = iota
+	RunStateNotRun
+	RunStateRun
+)
+
+// String returns the name that the protocols use.
+func (s RunState) String() string {
+	switch s {
+	case RunStateNotRun:
+		return "not-run"
+	case RunStateRun:
+		return "run"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason is the typed reason of a refusal.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonBadRequest     Reason = "bad-request"
+	ReasonUnknownService Reason = "unknown-service"
+	ReasonUnknownClass   Reason = "unknown-class"
+	ReasonBadTimeout     Reason = "bad-timeout"
+	ReasonBodyTooLarge   Reason = "body-too-large"
+	ReasonDeadline       Reason = "deadline"
+	ReasonOverload       Reason = "overload"
+	ReasonShed           Reason = "shed"
+	ReasonNoSnapshot     Reason = "no-snapshot"
+	ReasonNotReady       Reason = "not-ready"
+	ReasonLeaving        Reason = "leaving"
+	ReasonDomainOut      Reason = "failure-domain-out"
+	ReasonBadTicket      Reason = "bad-ticket"
+	ReasonTicketUsed     Reason = "ticket-used"
+	ReasonUpstream       Reason = "upstream"
+	ReasonNodeLost       Reason = "node-lost"
+)
+
+// Refusal is the final answer to a request that is not answered with data.
+type Refusal struct {
+	RequestID RequestID
+	Reason    Reason
+	Ran       RunState
+	// Detail says what was wrong and where.
+	Detail string
+	// Accepted says what would have been accepted; it may be empty.
+	Accepted string
+	// RetryAfter is when the caller may come back; zero means not stated.
+	RetryAfter time.Duration
+}
+
+// Error returns the reason, the run state and the detail.
+func (r *Refusal) Error() string {
+	return string(r.Reason) + " (" + r.Ran.String() + "): " + r.Detail
+}
--- /dev/null
+++ b/anvilmodel/node.go
@@ -0,0 +1,66 @@
+package anvilmodel
+
+import "net/netip"
+
+// VMName names an entry VM as the published list does.
+type VMName string
+
+// MemberStatus is a node's judgement of a member.
+type MemberStatus int
+
+// Member statuses.
+const (
+	MemberUnheard MemberStatus = iota
+	MemberAlive
+	MemberSuspect
+	MemberLeaving
+	MemberDead
+)
+
+// String returns the name used in status output and logs.
+func (s MemberStatus) String() string {
+	switch s {
+	case MemberAlive:
+		return "alive"
+	case MemberSuspect:
+		return "suspect"
+	case MemberLeaving:
+		return "leaving"
+	case MemberDead:
+		return "dead"
+	default:
+		return "unheard"
+	}
+}
+
+// Member is an entry VM and the node on it.
+type Member struct {
+	Name          VMName
+	Slot          SlotName
+	FailureDomain FailureDomain
+	// CallerAddress is where callers connect.
+	CallerAddress netip.AddrPort
+	// PeerAddress is where other nodes connect.
+	PeerAddress netip.AddrPort
+	Incarnation Incarnation
+	Status      MemberStatus
+	// Serving is false until the node has a configuration that it may serve.
+	Serving bool
+	// Load is the share of the node's capacity in use, from 0.
+	Load float64
+	// Revision is the store version of the configuration in force at the node.
+	Revision uint64
+	// TicketEpoch is the ticket period that the node is in.
+	TicketEpoch uint32
+	// Counter grows when the node refutes a suspicion within its incarnation.
+	Counter uint32
+}
+
+// ListedVM is an entry of the published VM list.
+type ListedVM struct {
+	Name          VMName
+	CallerAddress netip.AddrPort
+	PeerAddress   netip.AddrPort
+	FailureDomain FailureDomain
+	Leaving       bool
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command anvilbridge is a query tier for requests that fan out over many shards.
+package main
+
+import (
+	"os"
+
+	"anvilbridge/anvilcommand"
+)
+
+func main() {
+	os.Exit(anvilcommand.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
