--- /dev/null
+++ b/anvilaudit/event.go
@@ -0,0 +1,53 @@
+// Package anvilaudit records configuration changes and the changes that a node
+// makes by itself.
+package anvilaudit
+
+import "time"
+
+// Kind names what changed.
+type Kind string
+
+// Kinds of events.
+const (
+	KindConfigAccepted   Kind = "config-accepted"
+	KindConfigRefused    Kind = "config-refused"
+	KindConfigStale      Kind = "config-stale"
+	KindMemberJoined     Kind = "member-joined"
+	KindMemberSuspected  Kind = "member-suspected"
+	KindMemberDead       Kind = "member-dead"
+	KindMemberLeaving    Kind = "member-leaving"
+	KindMemberRefuted    Kind = "member-refuted"
+	KindMemberReplaced   Kind = "member-replaced"
+	KindDomainOut        Kind = "failure-domain-out"
+	KindDomainReturned   Kind = "failure-domain-returned"
+	KindAssignmentMoved  Kind = "assignment-moved"
+	KindLeafCold         Kind = "leaf-cold"
+	KindLeafWarm         Kind = "leaf-warm"
+	KindLeafBreakerOpen  Kind = "leaf-breaker-open"
+	KindLeafBreakerClose Kind = "leaf-breaker-closed"
+	KindLeafDraining     Kind = "leaf-draining"
+	KindConnectionSilent Kind = "connection-silent"
+	KindNodeReady        Kind = "node-ready"
+	KindNodeLeaving      Kind = "node-leaving"
+	KindNodeSuperseded   Kind = "node-superseded"
+	KindProcessPaused    Kind = "process-paused"
+)
+
+// Change is one field-level difference of a configuration change.
+type Change struct {
+	Path string
+	Old  string
+	New  string
+}
+
+// Event is one entry of the audit trail.
+type Event struct {
+	Time time.Time
+	Kind Kind
+	// Subject names what the event is about: a member, leaf or failure domain.
+	Subject string
+	Cause   string
+	// Revision is the store version of the configuration in force.
+	Revision uint64
+	Changes  []Change
+}
--- /dev/null
+++ b/anvilmetric/definition.go
@@ -0,0 +1,138 @@
+// Package anvilmetric defines the metrics of a node and exports them in
+// Prometheus text form.
+package anvilmetric
+
+// Kind is the type of a metric.
+type Kind int
+
+// Kinds of metrics.
+const (
+	KindCounter Kind = iota + 1
+	KindGauge
+	KindDuration
+	KindRatio
+)
+
+// Definition describes one metric. The exported name has the prefix
+// "anvilbridge_".
+type Definition struct {
+	Name   string
+	Kind   Kind
+	Help   string
+	Labels []string
+}
+
+// Metrics of a node.
+var (
+	Queries = Definition{
+		Name:   "queries_total",
+		Kind:   KindCounter,
+		Help:   "Queries finished, by class and outcome (answer, partial or the reason of a refusal).",
+		Labels: []string{"class", "outcome"},
+	}
+	QueryDuration = Definition{
+		Name:   "query_duration_seconds",
+		Kind:   KindDuration,
+		Help:   "Time from arrival to the final answer.",
+		Labels: []string{"class"},
+	}
+	QueryCoverage = Definition{
+		Name:   "query_coverage_ratio",
+		Kind:   KindRatio,
+		Help:   "Covered share of the shards of the snapshot, for answered queries.",
+		Labels: []string{"class"},
+	}
+	LeafCalls = Definition{
+		Name:   "leaf_calls_total",
+		Kind:   KindCounter,
+		Help:   "Calls sent to upstreams, by service, kind (primary, hedge, retry) and result.",
+		Labels: []string{"service", "kind", "result"},
+	}
+	LeafCallDuration = Definition{
+		Name:   "leaf_call_duration_seconds",
+		Kind:   KindDuration,
+		Help:   "Time of a call at the upstream, without queueing at the dispatcher.",
+		Labels: []string{"service"},
+	}
+	LeafsCold = Definition{
+		Name: "leafs_cold",
+		Kind: KindGauge,
+		Help: "Leafs of this node's dispatchers that are judged cold.",
+	}
+	LeafsBreakerOpen = Definition{
+		Name: "leafs_breaker_open",
+		Kind: KindGauge,
+		Help: "Leafs of this node's dispatchers whose circuit breaker is open.",
+	}
+	LeafQueue = Definition{
+		Name: "leaf_queue_length",
+		Kind: KindGauge,
+		Help: "Calls waiting at this node's dispatchers.",
+	}
+	LeafInFlight = Definition{
+		Name: "leaf_calls_in_flight",
+		Kind: KindGauge,
+		Help: "Calls running at upstreams for this node's dispatchers.",
+	}
+	RelayedCalls = Definition{
+		Name:   "relayed_calls_total",
+		Kind:   KindCounter,
+		Help:   "Leaf calls handed to or taken from other nodes.",
+		Labels: []string{"direction"},
+	}
+	RepliesDropped = Definition{
+		Name: "replies_dropped_total",
+		Kind: KindCounter,
+		Help: "Replies that came late, twice or for another request and were not used.",
+	}
+	ConfigRevision = Definition{
+		Name: "config_revision",
+		Kind: KindGauge,
+		Help: "Store version of the configuration in force.",
+	}
+	Members = Definition{
+		Name:   "members",
+		Kind:   KindGauge,
+		Help:   "Members known, by status.",
+		Labels: []string{"status"},
+	}
+	PeerMessages = Definition{
+		Name:   "peer_control_messages_total",
+		Kind:   KindCounter,
+		Help:   "Control messages sent to other nodes, by kind.",
+		Labels: []string{"kind"},
+	}
+	PeerBytes = Definition{
+		Name:   "peer_control_bytes_total",
+		Kind:   KindCounter,
+		Help:   "Encoded bytes of control messages sent to other nodes, by kind.",
+		Labels: []string{"kind"},
+	}
+	AuditEvents = Definition{
+		Name:   "audit_events_total",
+		Kind:   KindCounter,
+		Help:   "Audit events, by kind.",
+		Labels: []string{"kind"},
+	}
+	DomainOut = Definition{
+		Name:   "failure_domain_out",
+		Kind:   KindGauge,
+		Help:   "1 while operators have taken the failure domain out, else 0.",
+		Labels: []string{"failure_domain"},
+	}
+	QueriesInFlight = Definition{
+		Name: "queries_in_flight",
+		Kind: KindGauge,
+		Help: "Queries that this node is working on as origin.",
+	}
+)
+
+// Definitions returns every metric, for the documentation.
+func Definitions() []Definition {
+	return []Definition{
+		Queries, QueryDuration, QueryCoverage, QueriesInFlight,
+		LeafCalls, LeafCallDuration, LeafsCold, LeafsBreakerOpen, LeafQueue, LeafInFlight,
+		RelayedCalls, RepliesDropped, ConfigRevision, Members,
+		PeerMessages, PeerBytes, AuditEvents, DomainOut,
+	}
+}
--- /dev/null
+++ b/anvilserver/endpoint.go
@@ -0,0 +1,119 @@
+package anvilserver
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	"github.com/rs/zerolog"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilwire"
+)
+
+// queryRequest is the request type of the query endpoint.
+type queryRequest struct {
+	query   anvilwire.Query
+	arrived time.Time
+}
+
+// queryEndpoint returns *anvilmodel.Answer; a refusal is returned as the error.
+func queryEndpoint(run func(context.Context, anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal)) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		answer, refusal := run(ctx, request.(queryRequest).query)
+		if refusal != nil {
+			return nil, refusal
+		}
+		return answer, nil
+	}
+}
+
+func outcomeEndpoint(find func(context.Context, anvilmodel.Ticket) anvilwire.Outcome) endpoint.Endpoint {
+	return func(ctx context.Context, request any) (any, error) {
+		return find(ctx, request.(anvilmodel.Ticket)), nil
+	}
+}
+
+func addressEndpoint(choose func(anvilmodel.FailureDomain) anvilwire.AddressAnswer) endpoint.Endpoint {
+	return func(_ context.Context, request any) (any, error) {
+		return choose(request.(anvilmodel.FailureDomain)), nil
+	}
+}
+
+func observeQueries(observe func(QueryResult)) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, request any) (any, error) {
+			response, err := next(ctx, request)
+			observe(result(request.(queryRequest), response, err))
+			return response, err
+		}
+	}
+}
+
+// logQueries logs refusals at info level and answers at debug level, so that
+// the usual load does not write a line for each query.
+func logQueries(log zerolog.Logger) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, request any) (any, error) {
+			response, err := next(ctx, request)
+			r := result(request.(queryRequest), response, err)
+			event := log.Debug()
+			if r.Refusal != nil {
+				event = log.Info().
+					Str("ran", r.Refusal.Ran.String()).
+					Str("detail", r.Refusal.Detail)
+			}
+			event.
+				Str("event", "query-finished").
+				Str("request", string(r.Query.ID)).
+				Str("service", string(r.Query.Service)).
+				Str("class", string(r.Query.Class)).
+				Str("outcome", r.Outcome()).
+				Dur("took", r.Took).
+				Send()
+			return response, err
+		}
+	}
+}
+
+// recoverQueries turns a panic into a refusal whose run state is unknown, so
+// that one bad query does not end the process.
+func recoverQueries(log zerolog.Logger) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, request any) (response any, err error) {
+			defer func() {
+				fault := recover()
+				if fault == nil {
+					return
+				}
+				id := request.(queryRequest).query.ID
+				log.Error().
+					Str("event", "query-panic").
+					Str("request", string(id)).
+					Str("fault", fmt.Sprint(fault)).
+					Send()
+				err = &anvilmodel.Refusal{
+					RequestID: id,
+					Reason:    anvilmodel.ReasonUpstream,
+					Ran:       anvilmodel.RunStateUnknown,
+					Detail:    "internal error",
+				}
+			}()
+			return next(ctx, request)
+		}
+	}
+}
+
+func result(request queryRequest, response any, err error) QueryResult {
+	r := QueryResult{
+		Query: request.query,
+		Took:  time.Since(request.arrived),
+	}
+	if err != nil {
+		r.Refusal = asRefusal(request.query.ID, err)
+		return r
+	}
+	r.Answer = response.(*anvilmodel.Answer)
+	return r
+}
