--- /dev/null
+++ b/anvilwire/address.go
@@ -0,0 +1,79 @@
+package anvilwire
+
+import (
+	"net/netip"
+	"time"
+
+	"anvilbridge/anvilmodel"
+)
+
+// AddressAnswer tells a caller which nodes to use, best first, and for how
+// long. Of a member, the name, caller address, incarnation, ticket epoch and
+// failure domain are carried.
+type AddressAnswer struct {
+	Members []anvilmodel.Member
+	// Lifetime is how long the caller may use the answer.
+	Lifetime time.Duration
+}
+
+type addressesBody struct {
+	Addresses []addressBody `json:"addresses"`
+	Lifetime  string        `json:"lifetime"`
+}
+
+type addressBody struct {
+	Name          string `json:"name"`
+	Address       string `json:"address"`
+	Incarnation   uint64 `json:"incarnation"`
+	TicketEpoch   uint32 `json:"ticket-epoch"`
+	FailureDomain string `json:"failure-domain"`
+}
+
+// AppendAddresses appends the JSON body of an address answer.
+func AppendAddresses(dst []byte, a *AddressAnswer) ([]byte, error) {
+	body := addressesBody{
+		Addresses: make([]addressBody, len(a.Members)),
+		Lifetime:  a.Lifetime.String(),
+	}
+	for i, m := range a.Members {
+		body.Addresses[i] = addressBody{
+			Name:          string(m.Name),
+			Address:       m.CallerAddress.String(),
+			Incarnation:   uint64(m.Incarnation),
+			TicketEpoch:   m.TicketEpoch,
+			FailureDomain: string(m.FailureDomain),
+		}
+	}
+	return appendJSON(dst, &body, "addresses")
+}
+
+// DecodeAddresses reads the JSON body of an address answer. It returns
+// Malformed.
+func DecodeAddresses(data []byte) (AddressAnswer, error) {
+	var body addressesBody
+	if err := decodeJSON(data, &body, "addresses"); err != nil {
+		return AddressAnswer{}, err
+	}
+	lifetime, err := parseDuration(body.Lifetime, "lifetime of addresses")
+	if err != nil {
+		return AddressAnswer{}, err
+	}
+	a := AddressAnswer{
+		Members:  make([]anvilmodel.Member, len(body.Addresses)),
+		Lifetime: lifetime,
+	}
+	for i, b := range body.Addresses {
+		address, err := netip.ParseAddrPort(b.Address)
+		if err != nil {
+			return AddressAnswer{}, Malformed.Wrap(err, "decode address %d", i)
+		}
+		a.Members[i] = anvilmodel.Member{
+			Name:          anvilmodel.VMName(b.Name),
+			FailureDomain: anvilmodel.FailureDomain(b.FailureDomain),
+			CallerAddress: address,
+			Incarnation:   anvilmodel.Incarnation(b.Incarnation),
+			TicketEpoch:   b.TicketEpoch,
+		}
+	}
+	return a, nil
+}
