Add the exported API of anvilquery

The node runtime is written against this package in parallel, so its API comes first. The functions compile and do nothing yet. anvilmodel.Request gets a Key that addresses one shard.

--- a/anvilmodel/request.go
+++ b/anvilmodel/request.go
@@ -61,7 +61,10 @@
 	Timeout time.Duration
 	// Ticket is empty for idempotent classes.
 	Ticket Ticket
-	Body   []byte
+	// Key addresses the one shard that the key belongs to; empty addresses all
+	// shards. Which shard that is depends on the shard count of the snapshot.
+	Key  string
+	Body []byte
 }
 
 // Ticket binds a non-idempotent request to the node incarnation that may run it.
--- /dev/null
+++ b/anvilquery/config.go
@@ -0,0 +1,70 @@
+package anvilquery
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"anvilbridge/anvilmodel"
+)
+
+// Defaults of Config.
+const (
+	DefaultHedgeBudget   = 0.05
+	DefaultHedgeBurst    = 10
+	DefaultRetryBudget   = 0.10
+	DefaultRetryBurst    = 10
+	DefaultHedgeFloor    = time.Millisecond
+	DefaultLatencyWindow = 5 * time.Second
+	DefaultRetryAfter    = 100 * time.Millisecond
+	DefaultMaximumShards = 2048
+)
+
+// Config holds what an Origin is created with. Zero fields take the defaults.
+type Config struct {
+	// Incarnation is that of this node; it is part of every call id.
+	Incarnation anvilmodel.Incarnation
+	// Random is the source of all random choices. When nil, a source seeded with
+	// the incarnation is used.
+	Random *rand.Rand
+	// HedgeBudget is the number of hedges that one primary call earns, from 0 to 1.
+	HedgeBudget float64
+	// HedgeBurst is the most hedges that a service can save up.
+	HedgeBurst float64
+	// RetryBudget is the number of retries that one primary call earns, from 0 to 1.
+	RetryBudget float64
+	// RetryBurst is the most retries that a service can save up, and what it
+	// starts with.
+	RetryBurst float64
+	// HedgeFloor is the shortest time after which a call is hedged.
+	HedgeFloor time.Duration
+	// LatencyWindow is the time after which older latencies are forgotten, once
+	// enough newer ones are known.
+	LatencyWindow time.Duration
+	// RetryAfter is stated in refusals for which no better time is known.
+	RetryAfter time.Duration
+	// MaximumShards is the largest shard count that is believed, at most
+	// DefaultMaximumShards.
+	MaximumShards int
+}
+
+func (c Config) withDefaults() Config {
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(uint64(c.Incarnation), 0))
+	}
+	c.HedgeBudget = defaulted(c.HedgeBudget, DefaultHedgeBudget)
+	c.HedgeBurst = defaulted(c.HedgeBurst, DefaultHedgeBurst)
+	c.RetryBudget = defaulted(c.RetryBudget, DefaultRetryBudget)
+	c.RetryBurst = defaulted(c.RetryBurst, DefaultRetryBurst)
+	c.HedgeFloor = defaulted(c.HedgeFloor, DefaultHedgeFloor)
+	c.LatencyWindow = defaulted(c.LatencyWindow, DefaultLatencyWindow)
+	c.RetryAfter = defaulted(c.RetryAfter, DefaultRetryAfter)
+	c.MaximumShards = min(defaulted(c.MaximumShards, DefaultMaximumShards), DefaultMaximumShards)
+	return c
+}
+
+func defaulted[T int | float64 | time.Duration](value, fallback T) T {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
