Complete the node-to-node client and server

Cause: probes, announcements, transfers, outcome queries and leaf states had no carrier. Change: drpc client with a connection pool, server with handler functions, hand-written codecs for member and revision messages. Conclusion: the node runtime can be joined.

--- a/anvilmodel/leaf.go
+++ b/anvilmodel/leaf.go
@@ -53,6 +53,9 @@
 	// Load is the share of the leaf's slots in use, from 0; it may lag.
 	Load     float64
 	Holdings []Holding
+	// Judged says that the state rests on calls to the leaf, not only on what
+	// the leaf says of itself.
+	Judged bool
 	// Age is the time since the leaf reported this state.
 	Age time.Duration
 }
--- /dev/null
+++ b/anvilpeer/client.go
@@ -0,0 +1,189 @@
+package anvilpeer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilproto"
+	"anvilbridge/anvilrevision"
+)
+
+const (
+	// idleConnections bounds the idle connections to one node.
+	idleConnections = 2
+	// idleTotal bounds all idle connections; at 410 nodes a node keeps
+	// connections to those that it probed last.
+	idleTotal = 64
+	// idleExpiration closes connections before a middlebox forgets them.
+	idleExpiration = 30 * time.Second
+)
+
+// ClientConfig sets up a Client.
+type ClientConfig struct {
+	// Dial opens a connection; nil means TCP.
+	Dial DialFunc
+	// Sent receives the kind and encoded size of every control message; it may
+	// be nil.
+	Sent func(kind string, bytes int)
+}
+
+// Client asks other nodes. It is safe for concurrent use.
+type Client struct {
+	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
+	dial DialFunc
+	sent func(kind string, bytes int)
+}
+
+// NewClient returns a client without connections.
+func NewClient(c ClientConfig) *Client {
+	dial := c.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	sent := c.Sent
+	if sent == nil {
+		sent = func(string, int) {}
+	}
+	return &Client{
+		pool: drpcpool.New[netip.AddrPort, drpcpool.Conn](drpcpool.Options{
+			Expiration:  idleExpiration,
+			Capacity:    idleTotal,
+			KeyCapacity: idleConnections,
+		}),
+		dial: dial,
+		sent: sent,
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() error {
+	return c.pool.Close()
+}
+
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address.String())
+}
+
+// peer returns a client over a pooled connection. The pool dials when none is
+// idle and drops connections on which a call failed.
+func (c *Client) peer(ctx context.Context, address netip.AddrPort) anvilproto.DRPCPeerClient {
+	return anvilproto.NewDRPCPeerClient(c.connection(ctx, address))
+}
+
+func (c *Client) connection(ctx context.Context, address netip.AddrPort) drpc.Conn {
+	return c.pool.Get(ctx, address, func(ctx context.Context, address netip.AddrPort) (drpcpool.Conn, error) {
+		conn, err := c.dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return drpcconn.NewWithOptions(conn, drpcconn.Options{
+			Manager: managerOptions(),
+		}), nil
+	})
+}
+
+func (c *Client) count(kind string, message proto.Message) {
+	c.sent(kind, proto.Size(message))
+}
+
+// Probe sends a probe. It returns Unreachable.
+func (c *Client) Probe(ctx context.Context, address netip.AddrPort, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, error) {
+	request := encodeProbe(q)
+	c.count("probe", request)
+	reply, err := c.peer(ctx, address).Probe(ctx, request)
+	if err != nil {
+		return anvilmember.ProbeReply{}, Unreachable.Wrap(err, "probing %s", address)
+	}
+	return decodeProbeReply(reply), nil
+}
+
+// Announce tells a node which revision is in force here and returns the one in
+// force there. It returns Unreachable.
+func (c *Client) Announce(ctx context.Context, address netip.AddrPort, from anvilmember.Item, revision anvilrevision.Revision) (uint64, error) {
+	request := &anvilproto.AnnounceRequest{
+		From:     encodeItem(from),
+		Revision: revision.Version,
+		Digest:   revision.Digest[:],
+	}
+	c.count("announce", request)
+	reply, err := c.peer(ctx, address).Announce(ctx, request)
+	if err != nil {
+		return 0, Unreachable.Wrap(err, "announcing revision %d to %s", revision.Version, address)
+	}
+	return reply.GetRevision(), nil
+}
+
+// Manifest asks for the manifest of the revision in force at a node. It returns
+// Unreachable or Malformed.
+func (c *Client) Manifest(ctx context.Context, address netip.AddrPort) (anvilrevision.Manifest, error) {
+	request := &anvilproto.FetchRequest{}
+	c.count("fetch", request)
+	reply, err := c.peer(ctx, address).Fetch(ctx, request)
+	if err != nil {
+		return anvilrevision.Manifest{}, Unreachable.Wrap(err, "fetching the manifest from %s", address)
+	}
+	manifest, ok := decodeManifest(reply)
+	if !ok {
+		return manifest, Malformed.New("the manifest from %s has a hash of the wrong length", address)
+	}
+	return manifest, nil
+}
+
+// Chunks asks for chunks; those that the node lacks are left out. It returns
+// Unreachable.
+func (c *Client) Chunks(ctx context.Context, address netip.AddrPort, version uint64, hashes []anvilrevision.Hash) ([][]byte, error) {
+	request := &anvilproto.FetchRequest{
+		Revision: version,
+		Chunks:   encodeHashes(hashes),
+	}
+	c.count("fetch", request)
+	reply, err := c.peer(ctx, address).Fetch(ctx, request)
+	if err != nil {
+		return nil, Unreachable.Wrap(err, "fetching %d chunks from %s", len(hashes), address)
+	}
+	return reply.GetContents(), nil
+}
+
+// Outcome asks what became of a ticket. It returns Unreachable.
+func (c *Client) Outcome(ctx context.Context, address netip.AddrPort, ticket anvilmodel.Ticket) (Outcome, error) {
+	request := &anvilproto.OutcomeRequest{
+		Ticket: encodeTicket(ticket),
+	}
+	c.count("outcome", request)
+	reply, err := c.peer(ctx, address).Outcome(ctx, request)
+	if err != nil {
+		return Outcome{}, Unreachable.Wrap(err, "asking %s for the outcome of a ticket", address)
+	}
+	return Outcome{
+		State:  reply.GetState(),
+		Answer: reply.GetAnswer(),
+	}, nil
+}
+
+// LeafStates asks for the leaf states that changed after a version. It returns
+// Unreachable.
+func (c *Client) LeafStates(ctx context.Context, address netip.AddrPort, after uint64) ([]anvilmodel.LeafState, uint64, error) {
+	request := &anvilproto.LeafStatesRequest{
+		After: after,
+	}
+	c.count("leaf-states", request)
+	reply, err := c.peer(ctx, address).LeafStates(ctx, request)
+	if err != nil {
+		return nil, 0, Unreachable.Wrap(err, "asking %s for leaf states", address)
+	}
+	states := make([]anvilmodel.LeafState, 0, len(reply.GetStates()))
+	for _, state := range reply.GetStates() {
+		states = append(states, decodeLeafState(state))
+	}
+	return states, reply.GetVersion(), nil
+}
--- a/anvilpeer/codec.go
+++ b/anvilpeer/codec.go
@@ -139,6 +139,7 @@
 		Load:        s.Load,
 		Holdings:    holdings,
 		AgeMicros:   s.Age.Microseconds(),
+		Judged:      s.Judged,
 	}
 }
 
@@ -155,5 +156,6 @@
 		Load:        s.GetLoad(),
 		Holdings:    holdings,
 		Age:         time.Duration(s.GetAgeMicros()) * time.Microsecond,
+		Judged:      s.GetJudged(),
 	}
 }
--- /dev/null
+++ b/anvilpeer/membercodec.go
@@ -0,0 +1,123 @@
+package anvilpeer
+
+import (
+	"net/netip"
+
+	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilproto"
+)
+
+func encodeItem(i anvilmember.Item) *anvilproto.Member {
+	m := i.Member
+	witnesses := make([]string, 0, len(i.Witnesses))
+	for _, w := range i.Witnesses {
+		witnesses = append(witnesses, string(w))
+	}
+	return &anvilproto.Member{
+		Name:          string(m.Name),
+		Slot:          string(m.Slot),
+		FailureDomain: string(m.FailureDomain),
+		CallerAddress: encodeAddress(m.CallerAddress),
+		PeerAddress:   encodeAddress(m.PeerAddress),
+		Incarnation:   uint64(m.Incarnation),
+		Status:        int32(m.Status),
+		Serving:       m.Serving,
+		Load:          m.Load,
+		Revision:      m.Revision,
+		TicketEpoch:   m.TicketEpoch,
+		Counter:       m.Counter,
+		Version:       i.Version,
+		Witnesses:     witnesses,
+	}
+}
+
+func decodeItem(m *anvilproto.Member) anvilmember.Item {
+	witnesses := make([]anvilmodel.VMName, 0, len(m.GetWitnesses()))
+	for _, w := range m.GetWitnesses() {
+		witnesses = append(witnesses, anvilmodel.VMName(w))
+	}
+	return anvilmember.Item{
+		Member: anvilmodel.Member{
+			Name:          anvilmodel.VMName(m.GetName()),
+			Slot:          anvilmodel.SlotName(m.GetSlot()),
+			FailureDomain: anvilmodel.FailureDomain(m.GetFailureDomain()),
+			CallerAddress: decodeAddress(m.GetCallerAddress()),
+			PeerAddress:   decodeAddress(m.GetPeerAddress()),
+			Incarnation:   anvilmodel.Incarnation(m.GetIncarnation()),
+			Status:        anvilmodel.MemberStatus(m.GetStatus()),
+			Serving:       m.GetServing(),
+			Load:          m.GetLoad(),
+			Revision:      m.GetRevision(),
+			TicketEpoch:   m.GetTicketEpoch(),
+			Counter:       m.GetCounter(),
+		},
+		Version:   m.GetVersion(),
+		Witnesses: witnesses,
+	}
+}
+
+func encodeItems(items []anvilmember.Item) []*anvilproto.Member {
+	encoded := make([]*anvilproto.Member, 0, len(items))
+	for _, i := range items {
+		encoded = append(encoded, encodeItem(i))
+	}
+	return encoded
+}
+
+func decodeItems(encoded []*anvilproto.Member) []anvilmember.Item {
+	items := make([]anvilmember.Item, 0, len(encoded))
+	for _, m := range encoded {
+		items = append(items, decodeItem(m))
+	}
+	return items
+}
+
+// An address that is not included is empty on the wire.
+func encodeAddress(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+// decodeAddress treats an unreadable address as not included.
+func decodeAddress(text string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return address
+}
+
+func encodeProbe(q anvilmember.ProbeRequest) *anvilproto.ProbeRequest {
+	return &anvilproto.ProbeRequest{
+		From:   encodeItem(q.From),
+		Target: string(q.Target),
+		News:   encodeItems(q.News),
+	}
+}
+
+func decodeProbe(q *anvilproto.ProbeRequest) anvilmember.ProbeRequest {
+	return anvilmember.ProbeRequest{
+		From:   decodeItem(q.GetFrom()),
+		Target: anvilmodel.VMName(q.GetTarget()),
+		News:   decodeItems(q.GetNews()),
+	}
+}
+
+func encodeProbeReply(r anvilmember.ProbeReply) *anvilproto.ProbeReply {
+	return &anvilproto.ProbeReply{
+		From:    encodeItem(r.From),
+		Reached: r.Reached,
+		News:    encodeItems(r.News),
+	}
+}
+
+func decodeProbeReply(r *anvilproto.ProbeReply) anvilmember.ProbeReply {
+	return anvilmember.ProbeReply{
+		From:    decodeItem(r.GetFrom()),
+		Reached: r.GetReached(),
+		News:    decodeItems(r.GetNews()),
+	}
+}
--- a/anvilpeer/relay.go
+++ b/anvilpeer/relay.go
@@ -140,7 +140,9 @@
 	if err != nil {
 		return
 	}
-	rpc := drpcconn.New(conn)
+	rpc := drpcconn.NewWithOptions(conn, drpcconn.Options{
+		Manager: managerOptions(),
+	})
 	defer func() { _ = rpc.Close() }()
 	stream, err := anvilproto.NewDRPCPeerClient(rpc).Relay(ctx)
 	if err != nil {
--- /dev/null
+++ b/anvilpeer/revisioncodec.go
@@ -0,0 +1,64 @@
+package anvilpeer
+
+import (
+	"anvilbridge/anvilproto"
+	"anvilbridge/anvilrevision"
+)
+
+func encodeManifest(m anvilrevision.Manifest) *anvilproto.FetchReply {
+	reply := &anvilproto.FetchReply{
+		Revision:  m.Revision.Version,
+		Digest:    m.Revision.Digest[:],
+		Documents: make([]*anvilproto.DocumentManifest, 0, len(m.Documents)),
+	}
+	for _, d := range m.Documents {
+		reply.Documents = append(reply.Documents, &anvilproto.DocumentManifest{
+			Name:   d.Name,
+			Chunks: encodeHashes(d.Chunks),
+		})
+	}
+	return reply
+}
+
+// decodeManifest reports false when a hash or the digest has the wrong length.
+func decodeManifest(r *anvilproto.FetchReply) (anvilrevision.Manifest, bool) {
+	manifest := anvilrevision.Manifest{
+		Documents: make([]anvilrevision.DocumentManifest, 0, len(r.GetDocuments())),
+	}
+	manifest.Revision.Version = r.GetRevision()
+	if copy(manifest.Revision.Digest[:], r.GetDigest()) != len(manifest.Revision.Digest) {
+		return manifest, false
+	}
+	for _, d := range r.GetDocuments() {
+		hashes, ok := decodeHashes(d.GetChunks())
+		if !ok {
+			return manifest, false
+		}
+		manifest.Documents = append(manifest.Documents, anvilrevision.DocumentManifest{
+			Name:   d.GetName(),
+			Chunks: hashes,
+		})
+	}
+	return manifest, true
+}
+
+func encodeHashes(hashes []anvilrevision.Hash) [][]byte {
+	encoded := make([][]byte, 0, len(hashes))
+	for _, h := range hashes {
+		encoded = append(encoded, h[:])
+	}
+	return encoded
+}
+
+func decodeHashes(encoded [][]byte) ([]anvilrevision.Hash, bool) {
+	hashes := make([]anvilrevision.Hash, 0, len(encoded))
+	for _, e := range encoded {
+		var h anvilrevision.Hash
+		if len(e) != len(h) {
+			return nil, false
+		}
+		copy(h[:], e)
+		hashes = append(hashes, h)
+	}
+	return hashes, true
+}
--- /dev/null
+++ b/anvilpeer/server.go
@@ -0,0 +1,156 @@
+package anvilpeer
+
+import (
+	"context"
+	"net"
+
+	"github.com/joomcode/errorx"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilproto"
+	"anvilbridge/anvilrevision"
+)
+
+// maxMessageBytes bounds one message. It holds the chunks of two documents of
+// 1 MB, and a batch of calls with large bodies.
+const maxMessageBytes = 16 << 20
+
+// Errors is the namespace of the errors of this package.
+var Errors = errorx.NewNamespace("anvilpeer")
+
+var (
+	// Unreachable means that the other node did not answer in time.
+	Unreachable = Errors.NewType("unreachable", errorx.Timeout())
+	// Malformed means that the other node sent something that cannot be read.
+	Malformed = Errors.NewType("malformed")
+	// Refused means that this node has nothing to say to a request.
+	Refused = Errors.NewType("refused")
+)
+
+// Outcome is what a node knows of a ticket.
+type Outcome struct {
+	// State is one of "unknown", "running", "not-run" and "run".
+	State string
+	// Answer is the recorded answer in its caller-facing encoding.
+	Answer []byte
+}
+
+// Handlers are what a Server calls. All must be set and safe for concurrent use.
+type Handlers struct {
+	// Incarnation returns this node's incarnation.
+	Incarnation func() anvilmodel.Incarnation
+	// Submit takes a leaf call over; reply is called once and must not block.
+	Submit func(call anvilmodel.Call, reply func(anvilmodel.CallReply))
+	// Cancel cancels a submitted call.
+	Cancel func(id anvilmodel.CallID)
+	// Probe returns false when the node cannot say anything.
+	Probe func(ctx context.Context, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool)
+	// Announce handles a peer's revision and returns the one in force here.
+	Announce func(from anvilmember.Item, version uint64) uint64
+	Manifest func() anvilrevision.Manifest
+	// Chunk returns nil for a chunk that is not at hand.
+	Chunk   func(anvilrevision.Hash) []byte
+	Outcome func(anvilmodel.Ticket) Outcome
+	// LeafStates returns the states that changed after a version, and the
+	// version now.
+	LeafStates func(after uint64) ([]anvilmodel.LeafState, uint64)
+}
+
+// Server answers other nodes.
+type Server struct {
+	anvilproto.DRPCPeerUnimplementedServer
+	handlers Handlers
+	server   *drpcserver.Server
+}
+
+// NewServer returns a server that is not yet listening.
+func NewServer(h Handlers) (*Server, error) {
+	s := &Server{
+		handlers: h,
+	}
+	mux := drpcmux.New()
+	if err := anvilproto.DRPCRegisterPeer(mux, s); err != nil {
+		return nil, errorx.Decorate(err, "registering the peer service")
+	}
+	s.server = drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+	})
+	return s, nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{
+			MaximumBufferSize: maxMessageBytes,
+		},
+	}
+}
+
+// Serve answers on the listener until the context ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	return s.server.Serve(ctx, listener)
+}
+
+// Probe implements the drpc service.
+func (s *Server) Probe(ctx context.Context, q *anvilproto.ProbeRequest) (*anvilproto.ProbeReply, error) {
+	reply, ok := s.handlers.Probe(ctx, decodeProbe(q))
+	if !ok {
+		return nil, Refused.New("this node cannot answer a probe now")
+	}
+	return encodeProbeReply(reply), nil
+}
+
+// Announce implements the drpc service.
+func (s *Server) Announce(_ context.Context, q *anvilproto.AnnounceRequest) (*anvilproto.AnnounceReply, error) {
+	return &anvilproto.AnnounceReply{
+		Revision: s.handlers.Announce(decodeItem(q.GetFrom()), q.GetRevision()),
+	}, nil
+}
+
+// Fetch implements the drpc service.
+func (s *Server) Fetch(_ context.Context, q *anvilproto.FetchRequest) (*anvilproto.FetchReply, error) {
+	if len(q.GetChunks()) == 0 {
+		return encodeManifest(s.handlers.Manifest()), nil
+	}
+	hashes, ok := decodeHashes(q.GetChunks())
+	if !ok {
+		return nil, Malformed.New("a chunk hash has the wrong length")
+	}
+	reply := &anvilproto.FetchReply{
+		Revision: q.GetRevision(),
+		Contents: make([][]byte, 0, len(hashes)),
+	}
+	for _, h := range hashes {
+		if chunk := s.handlers.Chunk(h); chunk != nil {
+			reply.Contents = append(reply.Contents, chunk)
+		}
+	}
+	return reply, nil
+}
+
+// Outcome implements the drpc service.
+func (s *Server) Outcome(_ context.Context, q *anvilproto.OutcomeRequest) (*anvilproto.OutcomeReply, error) {
+	outcome := s.handlers.Outcome(decodeTicket(q.GetTicket()))
+	return &anvilproto.OutcomeReply{
+		State:  outcome.State,
+		Answer: outcome.Answer,
+	}, nil
+}
+
+// LeafStates implements the drpc service.
+func (s *Server) LeafStates(_ context.Context, q *anvilproto.LeafStatesRequest) (*anvilproto.LeafStatesReply, error) {
+	states, version := s.handlers.LeafStates(q.GetAfter())
+	reply := &anvilproto.LeafStatesReply{
+		Version: version,
+		States:  make([]*anvilproto.LeafState, 0, len(states)),
+	}
+	for _, state := range states {
+		reply.States = append(reply.States, encodeLeafState(state))
+	}
+	return reply, nil
+}
