--- /dev/null
+++ b/anvilleaf/status.go
@@ -0,0 +1,77 @@
+package anvilleaf
+
+import (
+	"time"
+
+	"anvilbridge/anvilmodel"
+)
+
+// Counters count what the dispatcher did since it was created.
+type Counters struct {
+	// Submitted counts calls handed over, without duplicates.
+	Submitted uint64
+	// Duplicates counts submitted calls whose id was outstanding; they are dropped.
+	Duplicates uint64
+	// Started counts calls sent to the leaf.
+	Started uint64
+	// Replied counts replies to origins.
+	Replied uint64
+	// Refused counts calls refused before they were started.
+	Refused uint64
+	// Displaced counts queued calls that gave way to a call of a higher rank.
+	Displaced uint64
+	// Expired counts calls refused because their time ran out in the queue.
+	Expired uint64
+	// HedgesRefused counts hedges refused because the queue was over half full.
+	HedgesRefused uint64
+	// Shed counts calls that the leaf refused without running them.
+	Shed uint64
+	// TimedOut counts started calls without a reply in time.
+	TimedOut uint64
+	// Cancelled counts calls cancelled by their origin.
+	Cancelled uint64
+	// DroppedReplies counts replies whose call was not outstanding.
+	DroppedReplies uint64
+	// Mismatched counts replies on another connection than the call's, or from
+	// another incarnation than the connection's.
+	Mismatched uint64
+	// Silent counts connections closed because they had gone silent.
+	Silent uint64
+	// Pauses counts gaps between events that were taken for a process pause.
+	Pauses uint64
+}
+
+// Status is a view of the dispatcher for operators and for the choice of a leaf.
+type Status struct {
+	Leaf        anvilmodel.LeafName
+	Incarnation anvilmodel.Incarnation
+	// Queue is the number of calls that wait.
+	Queue int
+	// InFlight is the number of calls that count against Limit.
+	InFlight int
+	// Limit is the number of calls that may be in flight now; 0 if none may start.
+	Limit int
+	// Adaptive is the limit of the warm leaf before rounding.
+	Adaptive    float64
+	Cold        bool
+	Ramping     bool
+	Breaker     BreakerState
+	Connections int
+	Idle        int
+	Suspect     int
+	Out         bool
+	Leaving     bool
+	Draining    bool
+	Isolated    bool
+	// Quiet is the time left in which nothing is sent to a cold leaf.
+	Quiet time.Duration
+	// Load is what the leaf last reported, LoadAge how long ago. LoadAge is
+	// negative if the leaf has not reported a load.
+	Load    float64
+	LoadAge time.Duration
+	// Typical is the mean service time of recent good calls, Fast the shortest
+	// of the recent ones; both are 0 until a call succeeded.
+	Typical  time.Duration
+	Fast     time.Duration
+	Counters Counters
+}
