Add the node runtime

Cause: the cores need a process around them. Change: anvilnode joins membership, revisions, queries, dispatchers, tickets, the HTTP server and the peer protocol; anvilwire encodes the node status. Conclusion: not yet runnable, the cores are still being written.

--- a/anvilmodel/node.go
+++ b/anvilmodel/node.go
@@ -64,3 +64,14 @@
 	FailureDomain FailureDomain
 	Leaving       bool
 }
+
+// ParseMemberStatus reads the name that String returns. Any other text is
+// MemberUnheard.
+func ParseMemberStatus(text string) MemberStatus {
+	for s := MemberAlive; s <= MemberDead; s++ {
+		if s.String() == text {
+			return s
+		}
+	}
+	return MemberUnheard
+}
--- /dev/null
+++ b/anvilnode/audit.go
@@ -0,0 +1,40 @@
+package anvilnode
+
+import (
+	"time"
+
+	"anvilbridge/anvilaudit"
+	"anvilbridge/anvilmetric"
+)
+
+// record adds an audit event with the time and the revision in force.
+func (n *Node) record(e anvilaudit.Event) {
+	e.Time = time.Now()
+	if e.Revision == 0 {
+		if v := n.view.Load(); v != nil {
+			e.Revision = v.revision.Version
+		}
+	}
+	n.auditLock.Lock()
+	n.audit.Add(e)
+	n.auditLock.Unlock()
+	n.metrics.Add(anvilmetric.AuditEvents, 1, string(e.Kind))
+}
+
+// logAudit writes one line for an event, with every changed field.
+func (n *Node) logAudit(e anvilaudit.Event) {
+	event := n.config.Log.Info().
+		Str("event", "audit").
+		Str("kind", string(e.Kind)).
+		Str("subject", e.Subject).
+		Str("cause", e.Cause).
+		Uint64("revision", e.Revision)
+	if len(e.Changes) > 0 {
+		changes := make([]string, 0, len(e.Changes))
+		for _, c := range e.Changes {
+			changes = append(changes, c.Path+": "+c.Old+" -> "+c.New)
+		}
+		event = event.Strs("changes", changes)
+	}
+	event.Send()
+}
--- /dev/null
+++ b/anvilnode/config.go
@@ -0,0 +1,129 @@
+// Package anvilnode is the node: it joins the decision cores with the sockets,
+// files and timers around them.
+package anvilnode
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"anvilbridge/anvilconfig"
+	"anvilbridge/anvilmodel"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxQueries    = 2000
+	DefaultShutdownLimit = 30 * time.Second
+	DefaultPollInterval  = 500 * time.Millisecond
+	DefaultListInterval  = 2 * time.Second
+)
+
+// Config holds the settings of a node.
+type Config struct {
+	// Name is the name of the VM in the published list.
+	Name          anvilmodel.VMName
+	Site          anvilconfig.SiteName
+	Slot          anvilmodel.SlotName
+	FailureDomain anvilmodel.FailureDomain
+	// CallerAddress and PeerAddress are told to callers and to other nodes.
+	CallerAddress netip.AddrPort
+	PeerAddress   netip.AddrPort
+	// CallerListener and PeerListener are used in place of listening on the
+	// addresses, when set.
+	CallerListener net.Listener
+	PeerListener   net.Listener
+	// ConfigService and VMList are the addresses of the platform.
+	ConfigService netip.AddrPort
+	VMList        netip.AddrPort
+	// MaxQueries bounds the queries that the node works on at a time.
+	MaxQueries int
+	// ShutdownLimit ends a graceful shutdown.
+	ShutdownLimit time.Duration
+	// PollInterval is the time between two reads of a leaf's state.
+	PollInterval time.Duration
+	// ListInterval is the time between two reads of the VM list in a small
+	// fleet; it grows with the fleet.
+	ListInterval time.Duration
+	// ServeAlone lets a fresh node serve although it has heard no other node.
+	ServeAlone bool
+	// Seed feeds the random choices; 0 takes one from the system.
+	Seed uint64
+	Log  zerolog.Logger
+	// DialPeer and DialUpstream open connections in tests; nil means TCP.
+	DialPeer     func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Finding is one fault of the settings.
+type Finding struct {
+	Setting  string
+	Message  string
+	Accepted string
+}
+
+// Check returns every fault of the settings.
+func (c Config) Check() []Finding {
+	findings := []Finding{}
+	add := func(setting, message, accepted string) {
+		findings = append(findings, Finding{
+			Setting:  setting,
+			Message:  message,
+			Accepted: accepted,
+		})
+	}
+	names := []struct{ setting, value string }{
+		{setting: "name", value: string(c.Name)},
+		{setting: "site", value: string(c.Site)},
+		{setting: "slot", value: string(c.Slot)},
+		{setting: "failure-domain", value: string(c.FailureDomain)},
+	}
+	for _, n := range names {
+		if n.value == "" {
+			add(n.setting, "is not set", "a name")
+		}
+	}
+	addresses := []struct {
+		setting string
+		value   netip.AddrPort
+	}{
+		{setting: "caller-address", value: c.CallerAddress},
+		{setting: "peer-address", value: c.PeerAddress},
+		{setting: "config-service", value: c.ConfigService},
+		{setting: "vm-list", value: c.VMList},
+	}
+	for _, a := range addresses {
+		if !a.value.IsValid() || a.value.Addr().IsUnspecified() || a.value.Port() == 0 {
+			add(a.setting, "is not an address that others can connect to", "IP:PORT, such as 10.0.0.1:7000")
+		}
+	}
+	if c.CallerAddress.IsValid() && c.CallerAddress == c.PeerAddress {
+		add("peer-address", "is the same as caller-address", "another port")
+	}
+	if c.MaxQueries < 0 {
+		add("max-queries", "is negative", "1 or more")
+	}
+	if c.ShutdownLimit < 0 {
+		add("shutdown-limit", "is negative", "a duration above 0, such as 30s")
+	}
+	return findings
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxQueries == 0 {
+		c.MaxQueries = DefaultMaxQueries
+	}
+	if c.ShutdownLimit == 0 {
+		c.ShutdownLimit = DefaultShutdownLimit
+	}
+	if c.PollInterval == 0 {
+		c.PollInterval = DefaultPollInterval
+	}
+	if c.ListInterval == 0 {
+		c.ListInterval = DefaultListInterval
+	}
+	return c
+}
--- /dev/null
+++ b/anvilnode/housekeeping.go
@@ -0,0 +1,81 @@
+package anvilnode
+
+import (
+	"time"
+
+	"anvilbridge/anvilconfig"
+	"anvilbridge/anvilleaf"
+	"anvilbridge/anvilmetric"
+	"anvilbridge/anvilmodel"
+)
+
+const (
+	// housekeepingInterval is the time between two rounds of gauges and checks.
+	housekeepingInterval = 500 * time.Millisecond
+	// relaySilence is how long calls may wait on a relay stream without any
+	// reply, while the member answers probes, before the stream is replaced:
+	// three probe periods.
+	relaySilence = 3 * time.Second
+)
+
+// runHousekeeping sets the gauges and checks relays and isolation.
+func (n *Node) runHousekeeping() {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	for {
+		n.checkRelays()
+		n.control.Lock()
+		isolated := n.members.Isolated(time.Now())
+		n.control.Unlock()
+		n.setIsolated(isolated)
+		n.setGauges()
+		select {
+		case <-n.background.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) setGauges() {
+	counts := make(map[anvilmodel.MemberStatus]int)
+	for _, m := range n.memberView.Load().all {
+		counts[m.Status]++
+	}
+	for s := anvilmodel.MemberUnheard; s <= anvilmodel.MemberDead; s++ {
+		n.metrics.Set(anvilmetric.Members, float64(counts[s]), s.String())
+	}
+	n.setLeafGauges()
+	n.metrics.Set(anvilmetric.QueriesInFlight, float64(n.admission.inFlight()))
+	v := n.view.Load()
+	if v == nil {
+		return
+	}
+	n.metrics.Set(anvilmetric.ConfigRevision, float64(v.revision.Version))
+	for _, d := range v.settings.FailureDomains {
+		out := 0.0
+		if d.State == anvilconfig.DomainOut {
+			out = 1
+		}
+		n.metrics.Set(anvilmetric.DomainOut, out, string(d.Name))
+	}
+}
+
+func (n *Node) setLeafGauges() {
+	var cold, open, queue, inFlight int
+	for _, r := range n.allRunners() {
+		s := r.currentStatus()
+		if s.Cold {
+			cold++
+		}
+		if s.Breaker != anvilleaf.BreakerClosed {
+			open++
+		}
+		queue += s.Queue
+		inFlight += s.InFlight
+	}
+	n.metrics.Set(anvilmetric.LeafsCold, float64(cold))
+	n.metrics.Set(anvilmetric.LeafsBreakerOpen, float64(open))
+	n.metrics.Set(anvilmetric.LeafQueue, float64(queue))
+	n.metrics.Set(anvilmetric.LeafInFlight, float64(inFlight))
+}
--- /dev/null
+++ b/anvilnode/status.go
@@ -0,0 +1,75 @@
+package anvilnode
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"anvilbridge/anvilwire"
+)
+
+// statusEvents is the number of audit events in a status.
+const statusEvents = 50
+
+// Status returns what the node tells operators.
+func (n *Node) Status() anvilwire.NodeStatus {
+	members := n.memberView.Load()
+	s := anvilwire.NodeStatus{
+		Name:            n.config.Name,
+		Site:            string(n.config.Site),
+		Slot:            n.config.Slot,
+		FailureDomain:   n.config.FailureDomain,
+		Incarnation:     n.incarnation(),
+		NotReady:        n.notReady(),
+		Leaving:         n.leaving.Load(),
+		QueriesInFlight: n.admission.inFlight(),
+		QueryLimit:      n.config.MaxQueries,
+		Members:         members.all,
+	}
+	n.control.Lock()
+	s.Isolated = n.members.Isolated(time.Now())
+	n.control.Unlock()
+	if v := n.view.Load(); v != nil {
+		s.Revision = v.revision.Version
+		for _, d := range v.settings.FailureDomains {
+			s.Domains = append(s.Domains, anvilwire.DomainStatus{
+				Name:  d.Name,
+				State: d.State.String(),
+			})
+		}
+	}
+	for _, r := range n.allRunners() {
+		s.Leafs = append(s.Leafs, leafStatus(r))
+	}
+	slices.SortFunc(s.Leafs, func(l, m anvilwire.LeafStatus) int { return cmp.Compare(l.Leaf, m.Leaf) })
+	n.auditLock.Lock()
+	s.Events = n.audit.Recent(statusEvents)
+	n.auditLock.Unlock()
+	return s
+}
+
+func (n *Node) encodeStatus() ([]byte, error) {
+	s := n.Status()
+	return anvilwire.EncodeStatus(&s)
+}
+
+func leafStatus(r *leafRunner) anvilwire.LeafStatus {
+	s := r.currentStatus()
+	return anvilwire.LeafStatus{
+		Leaf:          r.leaf.Name,
+		Service:       r.leaf.Service,
+		FailureDomain: r.leaf.FailureDomain,
+		Rank:          r.rank,
+		Incarnation:   s.Incarnation,
+		Cold:          s.Cold,
+		Draining:      s.Draining,
+		Out:           s.Out,
+		Breaker:       s.Breaker.String(),
+		Queue:         s.Queue,
+		InFlight:      s.InFlight,
+		Limit:         s.Limit,
+		Connections:   s.Connections,
+		Quiet:         s.Quiet,
+		Silent:        s.Counters.Silent,
+	}
+}
--- /dev/null
+++ b/anvilnode/ticket.go
@@ -0,0 +1,239 @@
+package anvilnode
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilpeer"
+	"anvilbridge/anvilticket"
+	"anvilbridge/anvilwire"
+)
+
+func newTickets(incarnation anvilmodel.Incarnation, started time.Time) *anvilticket.Register {
+	return anvilticket.New(anvilticket.Config{
+		Incarnation: incarnation,
+		Started:     started,
+	})
+}
+
+func (n *Node) ticketEpoch() uint32 {
+	n.ticketLock.Lock()
+	defer n.ticketLock.Unlock()
+	if n.tickets == nil {
+		return 0
+	}
+	return n.tickets.Epoch(time.Now())
+}
+
+// runTicket runs a non-idempotent request if its ticket allows it. The run goes
+// on when the caller disconnects, so that its outcome is recorded.
+func (n *Node) runTicket(ctx context.Context, request anvilmodel.Request) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+	n.ticketLock.Lock()
+	decision := n.tickets.Begin(request.Ticket, requestDigest(request), time.Now())
+	n.ticketLock.Unlock()
+	if decision.Verdict != anvilticket.VerdictRun {
+		n.admission.leave()
+		return n.answerTicket(ctx, request, decision)
+	}
+	type result struct {
+		answer  *anvilmodel.Answer
+		refusal *anvilmodel.Refusal
+	}
+	done := make(chan result, 1)
+	n.goRun(func() {
+		defer n.admission.leave()
+		answer, refusal := n.runQuery(n.background, request)
+		n.finishTicket(request.Ticket, answer, refusal)
+		done <- result{
+			answer:  answer,
+			refusal: refusal,
+		}
+	})
+	select {
+	case r := <-done:
+		return r.answer, r.refusal
+	case <-ctx.Done():
+		return nil, ticketRefusal(request.ID, anvilmodel.ReasonTicketUsed, anvilmodel.RunStateUnknown, "the request is still running")
+	}
+}
+
+// requestDigest covers everything that makes two requests the same.
+func requestDigest(r anvilmodel.Request) uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{string(r.Service), string(r.Class.Name), r.Key} {
+		// A hash.Hash never returns an error.
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(r.Body)
+	return digest.Sum64()
+}
+
+func (n *Node) finishTicket(ticket anvilmodel.Ticket, answer *anvilmodel.Answer, refusal *anvilmodel.Refusal) {
+	ran := anvilmodel.RunStateRun
+	var record []byte
+	var err error
+	if answer != nil {
+		record, err = anvilwire.AppendAnswer(nil, answer)
+	} else {
+		ran = refusal.Ran
+		record, err = anvilwire.AppendRefusal(nil, refusal)
+	}
+	if err != nil {
+		n.config.Log.Error().Str("event", "outcome-encoding-failed").Err(err).Send()
+		record = nil
+	}
+	n.ticketLock.Lock()
+	defer n.ticketLock.Unlock()
+	n.tickets.Finish(ticket, anvilticket.Outcome{
+		Ran:    ran,
+		Answer: record,
+		Digest: xxhash.Sum64(record),
+		Size:   len(record),
+	}, time.Now())
+}
+
+// answerTicket answers a request that this node does not run.
+func (n *Node) answerTicket(ctx context.Context, request anvilmodel.Request, d anvilticket.Decision) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+	switch d.Verdict {
+	case anvilticket.VerdictRecorded:
+		return answerRecord(request.ID, d.Outcome.Ran, d.Outcome.Answer)
+	case anvilticket.VerdictRunning:
+		return nil, ticketRefusal(request.ID, anvilmodel.ReasonTicketUsed, anvilmodel.RunStateUnknown, "the request is still running")
+	case anvilticket.VerdictElsewhere:
+		return n.answerElsewhere(ctx, request)
+	default:
+		return nil, ticketRefusal(request.ID, d.Reason, d.Ran, d.Detail)
+	}
+}
+
+// answerElsewhere answers a request whose ticket names another incarnation,
+// from what that incarnation says.
+func (n *Node) answerElsewhere(ctx context.Context, request anvilmodel.Request) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+	outcome := n.askOutcome(ctx, request.Ticket)
+	switch outcome.State {
+	case anvilwire.OutcomeRun:
+		return answerRecord(request.ID, anvilmodel.RunStateRun, outcome.Record)
+	case anvilwire.OutcomeNotRun:
+		return nil, ticketRefusal(request.ID, anvilmodel.ReasonBadTicket, anvilmodel.RunStateNotRun,
+			"the ticket belongs to another node, which has not run it and never will; use a new ticket")
+	case anvilwire.OutcomeRunning:
+		return nil, ticketRefusal(request.ID, anvilmodel.ReasonTicketUsed, anvilmodel.RunStateUnknown, "the request is still running at another node")
+	default:
+		return nil, ticketRefusal(request.ID, anvilmodel.ReasonBadTicket, anvilmodel.RunStateUnknown,
+			fmt.Sprintf("the node incarnation %d of the ticket cannot be asked", request.Ticket.Incarnation))
+	}
+}
+
+func ticketRefusal(id anvilmodel.RequestID, reason anvilmodel.Reason, ran anvilmodel.RunState, detail string) *anvilmodel.Refusal {
+	return &anvilmodel.Refusal{
+		RequestID: id,
+		Reason:    reason,
+		Ran:       ran,
+		Detail:    detail,
+	}
+}
+
+// answerRecord answers from a recorded outcome, under the id of the request at
+// hand.
+func answerRecord(id anvilmodel.RequestID, ran anvilmodel.RunState, record []byte) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+	if len(record) == 0 {
+		return nil, ticketRefusal(id, anvilmodel.ReasonTicketUsed, ran, "the request has ended; its answer was too large to be kept")
+	}
+	answer, refusal, err := anvilwire.DecodeRecord(record)
+	if err != nil {
+		return nil, ticketRefusal(id, anvilmodel.ReasonTicketUsed, ran, "the recorded answer cannot be read")
+	}
+	if refusal != nil {
+		refusal.RequestID = id
+		return nil, refusal
+	}
+	answer.RequestID = id
+	return answer, nil
+}
+
+// outcome says what became of a ticket, for a caller.
+func (n *Node) outcome(ctx context.Context, ticket anvilmodel.Ticket) anvilwire.Outcome {
+	if ticket.Incarnation != n.incarnation() {
+		return n.askOutcome(ctx, ticket)
+	}
+	return n.lookUp(ticket)
+}
+
+func (n *Node) lookUp(ticket anvilmodel.Ticket) anvilwire.Outcome {
+	unknown := anvilwire.Outcome{
+		Ticket: ticket,
+		State:  anvilwire.OutcomeUnknown,
+	}
+	n.ticketLock.Lock()
+	defer n.ticketLock.Unlock()
+	if n.tickets == nil {
+		return unknown
+	}
+	state, outcome := n.tickets.Lookup(ticket, time.Now())
+	switch state {
+	case anvilticket.TicketRunning:
+		unknown.State = anvilwire.OutcomeRunning
+	case anvilticket.TicketVoid:
+		unknown.State = anvilwire.OutcomeNotRun
+	case anvilticket.TicketFinished:
+		unknown.State = stateOf(outcome.Ran)
+		if unknown.State == anvilwire.OutcomeRun {
+			unknown.Record = outcome.Answer
+		}
+	}
+	return unknown
+}
+
+func stateOf(ran anvilmodel.RunState) anvilwire.OutcomeState {
+	switch ran {
+	case anvilmodel.RunStateRun:
+		return anvilwire.OutcomeRun
+	case anvilmodel.RunStateNotRun:
+		return anvilwire.OutcomeNotRun
+	default:
+		return anvilwire.OutcomeUnknown
+	}
+}
+
+// askOutcome asks the incarnation that a ticket names.
+func (n *Node) askOutcome(ctx context.Context, ticket anvilmodel.Ticket) anvilwire.Outcome {
+	unknown := anvilwire.Outcome{
+		Ticket: ticket,
+		State:  anvilwire.OutcomeUnknown,
+	}
+	m, ok := n.memberView.Load().byIncarnation[ticket.Incarnation]
+	if !ok || !m.PeerAddress.IsValid() {
+		return unknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	outcome, err := n.peers.Outcome(ctx, m.PeerAddress, ticket)
+	if err != nil {
+		return unknown
+	}
+	return anvilwire.Outcome{
+		Ticket: ticket,
+		State:  anvilwire.OutcomeState(outcome.State),
+		Record: outcome.Answer,
+	}
+}
+
+// answerOutcome answers another node. A node answers only for its own
+// incarnation; what a predecessor did is not known.
+func (n *Node) answerOutcome(ticket anvilmodel.Ticket) anvilpeer.Outcome {
+	if ticket.Incarnation != n.incarnation() {
+		return anvilpeer.Outcome{
+			State: string(anvilwire.OutcomeUnknown),
+		}
+	}
+	outcome := n.lookUp(ticket)
+	return anvilpeer.Outcome{
+		State:  string(outcome.State),
+		Answer: outcome.Record,
+	}
+}
--- /dev/null
+++ b/anvilnode/view.go
@@ -0,0 +1,135 @@
+package anvilnode
+
+import (
+	"fmt"
+	"time"
+
+	"anvilbridge/anvilassign"
+	"anvilbridge/anvilaudit"
+	"anvilbridge/anvilconfig"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilrevision"
+)
+
+// view is what a query needs of the configuration in force. It does not change.
+type view struct {
+	revision anvilrevision.Revision
+	settings *anvilconfig.Settings
+	table    *anvilassign.Table
+	out      []anvilmodel.FailureDomain
+	applied  time.Time
+}
+
+// isOut reports whether operators have taken a failure domain out.
+func (v *view) isOut(domain anvilmodel.FailureDomain) bool {
+	return v.settings.DomainOut(domain)
+}
+
+// apply puts a revision into force.
+func (n *Node) apply(a anvilrevision.Action) {
+	settings := a.Release.Site(n.config.Site)
+	if settings == nil {
+		n.record(anvilaudit.Event{
+			Kind:     anvilaudit.KindConfigRefused,
+			Subject:  string(n.config.Site),
+			Cause:    "the configuration has no site " + string(n.config.Site),
+			Revision: a.Revision.Version,
+		})
+		return
+	}
+	next := &view{
+		revision: a.Revision,
+		settings: settings,
+		table:    anvilassign.New(assignConfig(settings)),
+		applied:  time.Now(),
+	}
+	for _, d := range settings.FailureDomains {
+		if d.State == anvilconfig.DomainOut {
+			next.out = append(next.out, d.Name)
+		}
+	}
+	previous := n.view.Swap(next)
+	n.recordAccepted(a, previous, next)
+	n.applyOrigin(next)
+	n.applyRunners(next)
+}
+
+func assignConfig(s *anvilconfig.Settings) anvilassign.Config {
+	c := anvilassign.Config{
+		Limits:    make(map[anvilmodel.ServiceName]anvilassign.Limits, len(s.Services)),
+		GroupSize: s.Policy.LeafGroupSize,
+	}
+	for _, slot := range s.EntrySlots {
+		c.Slots = append(c.Slots, anvilassign.Slot{
+			Name:          slot.Name,
+			FailureDomain: slot.FailureDomain,
+		})
+	}
+	for _, service := range s.Services {
+		c.Leafs = append(c.Leafs, service.Leafs...)
+		c.Limits[service.Name] = anvilassign.Limits{
+			Connections:     service.Connections,
+			ColdConcurrency: service.ColdConcurrency,
+		}
+	}
+	return c
+}
+
+func (n *Node) recordAccepted(a anvilrevision.Action, previous, next *view) {
+	event := anvilaudit.Event{
+		Kind:     anvilaudit.KindConfigAccepted,
+		Subject:  string(n.config.Site),
+		Cause:    a.Cause,
+		Revision: a.Revision.Version,
+	}
+	if previous == nil {
+		n.record(event)
+		return
+	}
+	for _, c := range anvilconfig.Diff(previous.settings, next.settings) {
+		event.Changes = append(event.Changes, anvilaudit.Change{
+			Path: c.Path,
+			Old:  c.Old,
+			New:  c.New,
+		})
+	}
+	n.record(event)
+	n.recordDomains(previous, next)
+}
+
+func (n *Node) recordDomains(previous, next *view) {
+	for _, d := range next.settings.FailureDomains {
+		was := previous.isOut(d.Name)
+		is := d.State == anvilconfig.DomainOut
+		if was == is {
+			continue
+		}
+		kind := anvilaudit.KindDomainReturned
+		if is {
+			kind = anvilaudit.KindDomainOut
+		}
+		n.record(anvilaudit.Event{
+			Kind:    kind,
+			Subject: string(d.Name),
+			Cause:   fmt.Sprintf("revision %d sets state %s", next.revision.Version, d.State),
+		})
+	}
+}
+
+// applyOrigin tells the query core which leafs there are and which it may use.
+func (n *Node) applyOrigin(v *view) {
+	n.originLock.Lock()
+	defer n.originLock.Unlock()
+	if n.origin == nil {
+		return
+	}
+	leafs := []anvilmodel.Leaf{}
+	for _, service := range v.settings.Services {
+		leafs = append(leafs, service.Leafs...)
+	}
+	n.origin.SetLeafs(leafs)
+	n.origin.SetBudgets(v.settings.Policy.HedgeBudget, v.settings.Policy.RetryBudget)
+	for _, leaf := range leafs {
+		n.origin.SetUsable(leaf.Name, !v.isOut(leaf.FailureDomain))
+	}
+}
--- /dev/null
+++ b/anvilwire/status.go
@@ -0,0 +1,312 @@
+package anvilwire
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"anvilbridge/anvilaudit"
+	"anvilbridge/anvilmodel"
+)
+
+// NodeStatus is what a node tells operators of itself.
+type NodeStatus struct {
+	Name          anvilmodel.VMName
+	Site          string
+	Slot          anvilmodel.SlotName
+	FailureDomain anvilmodel.FailureDomain
+	Incarnation   anvilmodel.Incarnation
+	Revision      uint64
+	// NotReady is empty when the node serves, else the reason why it does not.
+	NotReady        string
+	Leaving         bool
+	Isolated        bool
+	QueriesInFlight int
+	QueryLimit      int
+	Domains         []DomainStatus
+	Members         []anvilmodel.Member
+	Leafs           []LeafStatus
+	Events          []anvilaudit.Event
+}
+
+// DomainStatus is the state of a failure domain in the configuration.
+type DomainStatus struct {
+	Name  anvilmodel.FailureDomain
+	State string
+}
+
+// LeafStatus is the state of one of the node's dispatchers.
+type LeafStatus struct {
+	Leaf          anvilmodel.LeafName
+	Service       anvilmodel.ServiceName
+	FailureDomain anvilmodel.FailureDomain
+	// Rank is 0 when the node is the leaf's primary candidate.
+	Rank        int
+	Incarnation anvilmodel.Incarnation
+	Cold        bool
+	Draining    bool
+	Out         bool
+	Breaker     string
+	Queue       int
+	InFlight    int
+	Limit       int
+	Connections int
+	// Quiet is the time left in which nothing is sent to a cold leaf.
+	Quiet time.Duration
+	// Silent counts connections that were replaced because they went silent.
+	Silent uint64
+}
+
+type statusBody struct {
+	Name            string         `json:"name"`
+	Site            string         `json:"site"`
+	Slot            string         `json:"slot"`
+	FailureDomain   string         `json:"failure-domain"`
+	Incarnation     uint64         `json:"incarnation"`
+	Revision        uint64         `json:"revision"`
+	NotReady        string         `json:"not-ready,omitempty"`
+	Leaving         bool           `json:"leaving"`
+	Isolated        bool           `json:"isolated"`
+	QueriesInFlight int            `json:"queries-in-flight"`
+	QueryLimit      int            `json:"query-limit"`
+	Domains         []domainBody   `json:"failure-domains"`
+	Members         []memberBody   `json:"members"`
+	Leafs           []leafStatBody `json:"leafs"`
+	Events          []eventBody    `json:"events"`
+}
+
+type domainBody struct {
+	Name  string `json:"name"`
+	State string `json:"state"`
+}
+
+type memberBody struct {
+	Name          string  `json:"name"`
+	Slot          string  `json:"slot"`
+	FailureDomain string  `json:"failure-domain"`
+	CallerAddress string  `json:"caller-address"`
+	PeerAddress   string  `json:"peer-address"`
+	Incarnation   uint64  `json:"incarnation"`
+	Status        string  `json:"status"`
+	Serving       bool    `json:"serving"`
+	Load          float64 `json:"load"`
+	Revision      uint64  `json:"revision"`
+}
+
+type leafStatBody struct {
+	Leaf          string `json:"leaf"`
+	Service       string `json:"service"`
+	FailureDomain string `json:"failure-domain"`
+	Rank          int    `json:"rank"`
+	Incarnation   uint64 `json:"incarnation"`
+	Cold          bool   `json:"cold"`
+	Draining      bool   `json:"draining"`
+	Out           bool   `json:"out"`
+	Breaker       string `json:"breaker"`
+	Queue         int    `json:"queue"`
+	InFlight      int    `json:"in-flight"`
+	Limit         int    `json:"limit"`
+	Connections   int    `json:"connections"`
+	Quiet         string `json:"quiet"`
+	Silent        uint64 `json:"silent-connections"`
+}
+
+type eventBody struct {
+	Time     time.Time    `json:"time"`
+	Kind     string       `json:"kind"`
+	Subject  string       `json:"subject"`
+	Cause    string       `json:"cause"`
+	Revision uint64       `json:"revision"`
+	Changes  []changeBody `json:"changes,omitempty"`
+}
+
+type changeBody struct {
+	Path string `json:"path"`
+	Old  string `json:"old"`
+	New  string `json:"new"`
+}
+
+// EncodeStatus returns the JSON body of a status.
+func EncodeStatus(s *NodeStatus) ([]byte, error) {
+	body := statusBody{
+		Name:            string(s.Name),
+		Site:            s.Site,
+		Slot:            string(s.Slot),
+		FailureDomain:   string(s.FailureDomain),
+		Incarnation:     uint64(s.Incarnation),
+		Revision:        s.Revision,
+		NotReady:        s.NotReady,
+		Leaving:         s.Leaving,
+		Isolated:        s.Isolated,
+		QueriesInFlight: s.QueriesInFlight,
+		QueryLimit:      s.QueryLimit,
+		Domains:         []domainBody{},
+		Members:         []memberBody{},
+		Leafs:           []leafStatBody{},
+		Events:          []eventBody{},
+	}
+	for _, d := range s.Domains {
+		body.Domains = append(body.Domains, domainBody{
+			Name:  string(d.Name),
+			State: d.State,
+		})
+	}
+	for _, m := range s.Members {
+		body.Members = append(body.Members, encodeMember(m))
+	}
+	for _, l := range s.Leafs {
+		body.Leafs = append(body.Leafs, encodeLeafStatus(l))
+	}
+	for _, e := range s.Events {
+		body.Events = append(body.Events, encodeEvent(e))
+	}
+	return json.Marshal(body)
+}
+
+func encodeMember(m anvilmodel.Member) memberBody {
+	return memberBody{
+		Name:          string(m.Name),
+		Slot:          string(m.Slot),
+		FailureDomain: string(m.FailureDomain),
+		CallerAddress: m.CallerAddress.String(),
+		PeerAddress:   m.PeerAddress.String(),
+		Incarnation:   uint64(m.Incarnation),
+		Status:        m.Status.String(),
+		Serving:       m.Serving,
+		Load:          m.Load,
+		Revision:      m.Revision,
+	}
+}
+
+func encodeLeafStatus(l LeafStatus) leafStatBody {
+	return leafStatBody{
+		Leaf:          string(l.Leaf),
+		Service:       string(l.Service),
+		FailureDomain: string(l.FailureDomain),
+		Rank:          l.Rank,
+		Incarnation:   uint64(l.Incarnation),
+		Cold:          l.Cold,
+		Draining:      l.Draining,
+		Out:           l.Out,
+		Breaker:       l.Breaker,
+		Queue:         l.Queue,
+		InFlight:      l.InFlight,
+		Limit:         l.Limit,
+		Connections:   l.Connections,
+		Quiet:         l.Quiet.String(),
+		Silent:        l.Silent,
+	}
+}
+
+func encodeEvent(e anvilaudit.Event) eventBody {
+	body := eventBody{
+		Time:     e.Time,
+		Kind:     string(e.Kind),
+		Subject:  e.Subject,
+		Cause:    e.Cause,
+		Revision: e.Revision,
+	}
+	for _, c := range e.Changes {
+		body.Changes = append(body.Changes, changeBody{
+			Path: c.Path,
+			Old:  c.Old,
+			New:  c.New,
+		})
+	}
+	return body
+}
+
+// DecodeStatus reads the JSON body of a status. It returns Malformed.
+func DecodeStatus(data []byte) (NodeStatus, error) {
+	var body statusBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return NodeStatus{}, Malformed.Wrap(err, "reading a status")
+	}
+	s := NodeStatus{
+		Name:            anvilmodel.VMName(body.Name),
+		Site:            body.Site,
+		Slot:            anvilmodel.SlotName(body.Slot),
+		FailureDomain:   anvilmodel.FailureDomain(body.FailureDomain),
+		Incarnation:     anvilmodel.Incarnation(body.Incarnation),
+		Revision:        body.Revision,
+		NotReady:        body.NotReady,
+		Leaving:         body.Leaving,
+		Isolated:        body.Isolated,
+		QueriesInFlight: body.QueriesInFlight,
+		QueryLimit:      body.QueryLimit,
+	}
+	for _, d := range body.Domains {
+		s.Domains = append(s.Domains, DomainStatus{
+			Name:  anvilmodel.FailureDomain(d.Name),
+			State: d.State,
+		})
+	}
+	for _, m := range body.Members {
+		s.Members = append(s.Members, decodeMember(m))
+	}
+	for _, l := range body.Leafs {
+		s.Leafs = append(s.Leafs, decodeLeafStatus(l))
+	}
+	for _, e := range body.Events {
+		s.Events = append(s.Events, decodeEvent(e))
+	}
+	return s, nil
+}
+
+func decodeMember(m memberBody) anvilmodel.Member {
+	// An address that cannot be read is shown as absent.
+	caller, _ := netip.ParseAddrPort(m.CallerAddress)
+	peer, _ := netip.ParseAddrPort(m.PeerAddress)
+	return anvilmodel.Member{
+		Name:          anvilmodel.VMName(m.Name),
+		Slot:          anvilmodel.SlotName(m.Slot),
+		FailureDomain: anvilmodel.FailureDomain(m.FailureDomain),
+		CallerAddress: caller,
+		PeerAddress:   peer,
+		Incarnation:   anvilmodel.Incarnation(m.Incarnation),
+		Status:        anvilmodel.ParseMemberStatus(m.Status),
+		Serving:       m.Serving,
+		Load:          m.Load,
+		Revision:      m.Revision,
+	}
+}
+
+func decodeLeafStatus(l leafStatBody) LeafStatus {
+	// A duration that cannot be read is shown as zero.
+	quiet, _ := time.ParseDuration(l.Quiet)
+	return LeafStatus{
+		Leaf:          anvilmodel.LeafName(l.Leaf),
+		Service:       anvilmodel.ServiceName(l.Service),
+		FailureDomain: anvilmodel.FailureDomain(l.FailureDomain),
+		Rank:          l.Rank,
+		Incarnation:   anvilmodel.Incarnation(l.Incarnation),
+		Cold:          l.Cold,
+		Draining:      l.Draining,
+		Out:           l.Out,
+		Breaker:       l.Breaker,
+		Queue:         l.Queue,
+		InFlight:      l.InFlight,
+		Limit:         l.Limit,
+		Connections:   l.Connections,
+		Quiet:         quiet,
+		Silent:        l.Silent,
+	}
+}
+
+func decodeEvent(e eventBody) anvilaudit.Event {
+	event := anvilaudit.Event{
+		Time:     e.Time,
+		Kind:     anvilaudit.Kind(e.Kind),
+		Subject:  e.Subject,
+		Cause:    e.Cause,
+		Revision: e.Revision,
+	}
+	for _, c := range e.Changes {
+		event.Changes = append(event.Changes, anvilaudit.Change{
+			Path: c.Path,
+			Old:  c.Old,
+			New:  c.New,
+		})
+	}
+	return event
+}
