Add the client to leafs and the stand-ins

Cause: the node runtime needs calls to leafs whose connection is chosen by the dispatcher, and tests need leafs, a configuration service and a VM list. Change: anvilupstream sends a call once on a numbered connection, says for certain when no byte was written, and cancels on a control connection. anvilstandin has leafs with slots, cold collapse and reply faults, a configuration service with stored versions, a VM list, and a cluster of them.

--- /dev/null
+++ b/anvilstandin/control.go
@@ -0,0 +1,227 @@
+package anvilstandin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilwire"
+)
+
+// Paths of the control endpoint.
+const (
+	pathControlLeaf    = "/standin/v1/leaf/{name}"
+	pathControlConfig  = "/standin/v1/config/{document}"
+	pathControlVMs     = "/standin/v1/vms"
+	pathControlPublish = "/standin/v1/publish/{service}"
+)
+
+// controlHandler serves the control endpoint:
+//
+//	POST /standin/v1/leaf/{name}        form fields, see leafControls
+//	GET  /standin/v1/leaf/{name}        counts of the leaf as JSON
+//	PUT  /standin/v1/config/{document}  the content as the body
+//	POST /standin/v1/vms                the list in the form of the VM list
+//	POST /standin/v1/publish/{service}  form fields snapshot, shards
+func (k *Cluster) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathControlLeaf, k.controlLeaf)
+	mux.HandleFunc("GET "+pathControlLeaf, k.showLeaf)
+	mux.HandleFunc("PUT "+pathControlConfig, k.controlConfig)
+	mux.HandleFunc("POST "+pathControlVMs, k.controlVMs)
+	mux.HandleFunc("POST "+pathControlPublish, k.controlPublish)
+	return mux
+}
+
+// leafControls maps the form fields of a leaf to its fault controls.
+var leafControls = map[string]func(u *Upstream, value string) error{
+	"slow":               durationControl((*Upstream).SetSlow),
+	"reply-delay":        durationControl((*Upstream).SetReplyDelay),
+	"state-delay":        durationControl((*Upstream).SetStateDelay),
+	"cold":               boolControl((*Upstream).SetCold),
+	"draining":           boolControl((*Upstream).SetDraining),
+	"out":                boolControl((*Upstream).SetOut),
+	"state-frozen":       boolControl((*Upstream).SetStateFrozen),
+	"silent-connections": actionControl((*Upstream).SilenceConnections),
+	"turn-cold":          actionControl((*Upstream).TurnCold),
+	"cross-replies":      faultControl(CrossReply),
+	"truncate-replies":   faultControl(TruncateReply),
+	"corrupt-replies":    faultControl(CorruptReply),
+	"break-replies":      faultControl(BreakReply),
+	"stopped":            stopControl,
+	"drop-snapshot":      dropControl,
+}
+
+func durationControl(set func(*Upstream, time.Duration)) func(*Upstream, string) error {
+	return func(u *Upstream, value string) error {
+		d, err := time.ParseDuration(value)
+		if err == nil {
+			set(u, d)
+		}
+		return err
+	}
+}
+
+func boolControl(set func(*Upstream, bool)) func(*Upstream, string) error {
+	return func(u *Upstream, value string) error {
+		b, err := strconv.ParseBool(value)
+		if err == nil {
+			set(u, b)
+		}
+		return err
+	}
+}
+
+// actionControl runs an action for true, and does nothing for false.
+func actionControl(act func(*Upstream)) func(*Upstream, string) error {
+	return func(u *Upstream, value string) error {
+		b, err := strconv.ParseBool(value)
+		if b {
+			act(u)
+		}
+		return err
+	}
+}
+
+func faultControl(f ReplyFault) func(*Upstream, string) error {
+	return func(u *Upstream, value string) error {
+		n, err := strconv.Atoi(value)
+		if err == nil {
+			u.InjectReplyFaults(f, n)
+		}
+		return err
+	}
+}
+
+func stopControl(u *Upstream, value string) error {
+	stop, err := strconv.ParseBool(value)
+	if err != nil {
+		return err
+	}
+	if stop {
+		u.Stop()
+		return nil
+	}
+	return u.Start()
+}
+
+func dropControl(u *Upstream, value string) error {
+	n, err := strconv.ParseUint(value, 10, 64)
+	if err == nil {
+		u.DropSnapshot(anvilmodel.Snapshot(n))
+	}
+	return err
+}
+
+// controlLeaf sets every field, and reports all that are not valid.
+func (k *Cluster) controlLeaf(w http.ResponseWriter, r *http.Request) {
+	u := k.Upstream(anvilmodel.LeafName(r.PathValue("name")))
+	if u == nil {
+		http.Error(w, "there is no leaf of this name", http.StatusNotFound)
+		return
+	}
+	if err := r.ParseForm(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := setControls(u, r.Form); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func setControls(u *Upstream, form url.Values) error {
+	var findings []error
+	for field, values := range form {
+		control := leafControls[field]
+		if control == nil {
+			findings = append(findings, BadSetting.New("there is no field %q", field))
+			continue
+		}
+		if err := control(u, values[len(values)-1]); err != nil {
+			findings = append(findings, BadSetting.Wrap(err, "set field %s", field))
+		}
+	}
+	return errors.Join(findings...)
+}
+
+func (k *Cluster) showLeaf(w http.ResponseWriter, r *http.Request) {
+	u := k.Upstream(anvilmodel.LeafName(r.PathValue("name")))
+	if u == nil {
+		http.Error(w, "there is no leaf of this name", http.StatusNotFound)
+		return
+	}
+	s := u.Stats()
+	counts := map[string]int{
+		"calls":               s.Calls,
+		"executed":            s.Executed,
+		"completed":           s.Completed,
+		"shed":                s.Shed,
+		"cancelled":           s.Cancelled,
+		"expired":             s.Expired,
+		"snapshot-gone":       s.SnapshotGone,
+		"while-draining":      s.WhileDraining,
+		"while-out":           s.WhileOut,
+		"peak":                s.Peak,
+		"cold-peak":           s.ColdPeak,
+		"cold-violations":     s.ColdViolations,
+		"state-reads":         s.StateReads,
+		"connections-open":    s.ConnectionsOpen,
+		"connections-opened":  s.ConnectionsOpened,
+		"connections-refused": s.ConnectionsRefused,
+		"connections-peak":    s.ConnectionsPeak,
+	}
+	writeJSON(w, func([]byte) ([]byte, error) {
+		return json.Marshal(counts)
+	})
+}
+
+func (k *Cluster) controlConfig(w http.ResponseWriter, r *http.Request) {
+	content, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	k.config.SetDocument(r.PathValue("document"), content)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (k *Cluster) controlVMs(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	vms, err := anvilwire.DecodeVMList(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	k.vms.Set(vms...)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (k *Cluster) controlPublish(w http.ResponseWriter, r *http.Request) {
+	snapshot, err := strconv.ParseUint(r.FormValue("snapshot"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	shards, err := strconv.Atoi(r.FormValue("shards"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = k.Publish(anvilmodel.ServiceName(r.PathValue("service")), anvilmodel.Snapshot(snapshot), shards)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/anvilupstream/client.go
+++ b/anvilupstream/client.go
@@ -6,9 +6,16 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
+)
 
-	"anvilbridge/anvilmodel"
+const (
+	defaultDialTimeout        = time.Second
+	defaultControlTimeout     = time.Second
+	defaultCancelGrace        = 20 * time.Millisecond
+	defaultMaxReplyBytes      = 4 << 20
+	defaultControlConnections = 1
 )
 
 // Config holds the settings of a Client. Zero values take the defaults.
@@ -29,67 +36,119 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Outcome is how a call on one connection ended.
-type Outcome struct {
-	Reply anvilmodel.CallReply
-	// Connection is the number on which the call was sent.
-	Connection int
-	// BytesWritten is false only if it is certain that no byte of the call was
-	// and will be written.
-	BytesWritten bool
-	// Opened says whether the call opened the connection.
-	Opened bool
-	// Elapsed is the time from the call of Call to its return.
-	Elapsed time.Duration
-	// Err says why the result is CallBroken or CallTimeout; it may be nil.
-	Err error
+func (c Config) withDefaults() Config {
+	c.DialTimeout = orDefault(c.DialTimeout, defaultDialTimeout)
+	c.ControlTimeout = orDefault(c.ControlTimeout, defaultControlTimeout)
+	c.CancelGrace = orDefault(c.CancelGrace, defaultCancelGrace)
+	c.MaxReplyBytes = orDefault(c.MaxReplyBytes, defaultMaxReplyBytes)
+	c.ControlConnections = orDefault(c.ControlConnections, defaultControlConnections)
+	if c.Dial == nil {
+		dialer := net.Dialer{}
+		c.Dial = dialer.DialContext
+	}
+	return c
+}
+
+func orDefault[T int | int64 | time.Duration](value, otherwise T) T {
+	if value <= 0 {
+		return otherwise
+	}
+	return value
 }
 
-// Client sends calls to leafs.
+// Client sends calls to leafs. Its methods may be called concurrently.
 type Client struct {
 	config Config
+	// base ends when the client is shut down.
+	base   context.Context
+	cancel context.CancelFunc
+
+	mu     sync.RWMutex
+	leafs  map[netip.AddrPort]*leaf
+	closed bool
+	// cancels counts the cancellations that expired calls have started.
+	cancels sync.WaitGroup
 }
 
 // New returns a Client. It must be closed by Shutdown.
 func New(c Config) *Client {
+	base, cancel := context.WithCancel(context.Background())
 	return &Client{
-		config: c,
+		config: c.withDefaults(),
+		base:   base,
+		cancel: cancel,
+		leafs:  make(map[netip.AddrPort]*leaf),
 	}
 }
 
-// Call sends one call on the numbered connection of the leaf, opening it if
-// need be, and waits for the reply. A connection carries one call at a time.
-// The call is never sent twice. It ends at the latest after call.Timeout and
-// the cancel grace.
-func (c *Client) Call(_ context.Context, _ netip.AddrPort, _ int, _ anvilmodel.Call) Outcome {
-	panic("not written yet")
-}
-
-// Cancel asks the leaf to end a call, on a control connection, so that the
-// connection of the call is kept. The call itself then returns CallCancelled.
-func (c *Client) Cancel(_ context.Context, _ netip.AddrPort, _ anvilmodel.CallID) error {
-	panic("not written yet")
-}
-
-// State reads the state endpoint of the leaf, on a control connection. Leaf
-// and Age are left zero.
-func (c *Client) State(_ context.Context, _ netip.AddrPort) (anvilmodel.LeafState, error) {
-	panic("not written yet")
+// leaf returns the state kept for an address; it returns Closed after Shutdown.
+func (c *Client) leaf(address netip.AddrPort) (*leaf, error) {
+	c.mu.RLock()
+	l, closed := c.leafs[address], c.closed
+	c.mu.RUnlock()
+	if closed {
+		return nil, Closed.New("connect to leaf at %s: the client is shut down", address)
+	}
+	if l != nil {
+		return l, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, Closed.New("connect to leaf at %s: the client is shut down", address)
+	}
+	if l = c.leafs[address]; l == nil {
+		l = newLeaf(c, address)
+		c.leafs[address] = l
+	}
+	return l, nil
 }
 
 // Close closes the numbered connection of the leaf. A call on it ends with
 // CallBroken. The next call with that number opens a new connection.
-func (c *Client) Close(_ netip.AddrPort, _ int) {
-	panic("not written yet")
+func (c *Client) Close(address netip.AddrPort, connection int) {
+	c.mu.RLock()
+	l := c.leafs[address]
+	c.mu.RUnlock()
+	if l != nil {
+		l.close(connection)
+	}
 }
 
-// Forget closes all connections of a leaf that is no longer used.
-func (c *Client) Forget(_ netip.AddrPort) {
-	panic("not written yet")
+// Forget closes all connections of a leaf that is no longer used. Calls under
+// way end with CallBroken.
+func (c *Client) Forget(address netip.AddrPort) {
+	c.mu.Lock()
+	l := c.leafs[address]
+	delete(c.leafs, address)
+	c.mu.Unlock()
+	if l != nil {
+		l.shutdown()
+	}
 }
 
 // Shutdown closes all connections and waits for cancellations under way. Calls
 // under way end with CallBroken.
 func (c *Client) Shutdown() {
-	panic("not written yet")
+	c.mu.Lock()
+	c.closed = true
+	leafs := c.leafs
+	c.leafs = nil
+	c.mu.Unlock()
+	c.cancel()
+	for _, l := range leafs {
+		l.shutdown()
+	}
+	c.cancels.Wait()
+}
+
+// startCancel counts a cancellation under way; it is false after Shutdown.
+func (c *Client) startCancel() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.closed {
+		return false
+	}
+	c.cancels.Add(1)
+	return true
 }
--- /dev/null
+++ b/anvilupstream/control.go
@@ -0,0 +1,91 @@
+package anvilupstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilwire"
+)
+
+// maxStateBytes bounds the reply of a state endpoint.
+const maxStateBytes = 256 << 10
+
+// Cancel asks the leaf to end a call, on a control connection, so that the
+// connection of the call is kept. The call itself then returns CallCancelled.
+// A call that the leaf does not know is no error. It returns Closed,
+// Unreachable, TimedOut, Cancelled or BadStatus.
+func (c *Client) Cancel(ctx context.Context, address netip.AddrPort, id anvilmodel.CallID) error {
+	status, _, err := c.controlRequest(ctx, http.MethodDelete, address, anvilwire.LeafCallPath(id))
+	if err != nil {
+		return err
+	}
+	switch status {
+	case http.StatusOK, http.StatusNoContent, http.StatusNotFound:
+		return nil
+	default:
+		return BadStatus.New("cancel call at leaf at %s: HTTP status %d", address, status)
+	}
+}
+
+// State reads the state endpoint of the leaf, on a control connection. Leaf
+// and Age are left zero. It returns Closed, Unreachable, TimedOut, Cancelled,
+// BadStatus, TooLarge or BadReply.
+func (c *Client) State(ctx context.Context, address netip.AddrPort) (anvilmodel.LeafState, error) {
+	status, body, err := c.controlRequest(ctx, http.MethodGet, address, anvilwire.PathLeafState)
+	if err != nil {
+		return anvilmodel.LeafState{}, err
+	}
+	if status != http.StatusOK {
+		return anvilmodel.LeafState{}, BadStatus.New("read state of leaf at %s: HTTP status %d", address, status)
+	}
+	state, err := anvilwire.DecodeLeafState(body)
+	if err != nil {
+		return anvilmodel.LeafState{}, BadReply.Wrap(err, "read state of leaf at %s", address)
+	}
+	return state, nil
+}
+
+// controlRequest sends a request without a body on a control connection and
+// returns the status and the body of the reply.
+func (c *Client) controlRequest(ctx context.Context, method string, address netip.AddrPort, path string) (int, []byte, error) {
+	l, err := c.leaf(address)
+	if err != nil {
+		return 0, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.config.ControlTimeout)
+	defer cancel()
+	target := *l.callURL
+	target.Path = path
+	req, err := http.NewRequestWithContext(ctx, method, target.String(), http.NoBody)
+	if err != nil {
+		return 0, nil, Unreachable.Wrap(err, "%s %s at leaf at %s", method, path, address)
+	}
+	resp, err := l.control.transport.RoundTrip(req)
+	if err != nil {
+		return 0, nil, wrapControl(ctx, err, method, path, address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes+1))
+	if err != nil {
+		return 0, nil, wrapControl(ctx, err, method, path, address)
+	}
+	if len(body) > maxStateBytes {
+		return 0, nil, TooLarge.New("%s %s at leaf at %s: the reply has over %d bytes", method, path, address, maxStateBytes)
+	}
+	return resp.StatusCode, body, nil
+}
+
+func wrapControl(ctx context.Context, err error, method, path string, address netip.AddrPort) error {
+	kind := Unreachable
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		kind = TimedOut
+	case ctx.Err() != nil:
+		kind = Cancelled
+	}
+	return kind.Wrap(err, "%s %s at leaf at %s", method, path, address)
+}
