Implement the query core

Hedged, retried and moved calls pass through queues indexed by call number, so an event costs the same whatever the number of shards.

--- /dev/null
+++ b/anvilquery/attempt.go
@@ -0,0 +1,60 @@
+package anvilquery
+
+import "anvilbridge/anvilmodel"
+
+// Attempt numbers are given out in blocks, one for each query and one more when
+// it restarts. The block names the query, the rest the call within it, so a
+// reply is matched without a search, and a reply to an earlier query or an
+// earlier snapshot with the same request id matches nothing. The protocol
+// between nodes carries attempts as 31 bits.
+const (
+	blockBits  = 12
+	blockSize  = 1 << blockBits
+	blockCount = 1 << (31 - blockBits)
+	// runningLimit keeps enough blocks free that none is reused while a reply to
+	// its last owner can still arrive.
+	runningLimit = blockCount / 2
+)
+
+// takeBlock gives the query a block of attempt numbers.
+func (o *Origin) takeBlock(q *Query) {
+	for {
+		o.block = (o.block + 1) % blockCount
+		if _, taken := o.running[o.block]; !taken {
+			break
+		}
+	}
+	o.running[o.block] = q
+	q.block = o.block
+}
+
+func (q *Query) dropBlock() {
+	delete(q.origin.running, q.block)
+}
+
+func (q *Query) callID(n int) anvilmodel.CallID {
+	return anvilmodel.CallID{
+		Request: q.request.ID,
+		Origin:  q.origin.config.Incarnation,
+		Attempt: q.block<<blockBits | n,
+	}
+}
+
+// find returns the number of the outstanding call that a reply answers. Without
+// one it drops and counts the reply.
+func (q *Query) find(reply *anvilmodel.CallReply) (int, bool) {
+	o := q.origin
+	n := reply.ID.Attempt & (blockSize - 1)
+	block := reply.ID.Attempt >> blockBits
+	ours := reply.ID.Request == q.request.ID && reply.ID.Origin == o.config.Incarnation
+	switch {
+	case !ours, block == q.block && n >= len(q.calls), block == q.block && q.calls[n].leaf.name != reply.Leaf:
+		o.counters.DroppedCrossed++
+		return 0, false
+	case q.done, block != q.block, q.calls[n].ended:
+		o.dropLate(o.leafs[reply.Leaf], reply, q.now)
+		return 0, false
+	default:
+		return n, true
+	}
+}
--- a/anvilquery/counters.go
+++ b/anvilquery/counters.go
@@ -23,7 +23,8 @@
 	// than the call asked for.
 	DroppedSnapshot uint64
 	// HedgesSent, HedgesWon and HedgesRefused count hedges that were sent, that
-	// answered first, and that the token budget did not allow.
+	// answered first, and that found no token when they were due. The last may
+	// still have been sent later.
 	HedgesSent    uint64
 	HedgesWon     uint64
 	HedgesRefused uint64
--- a/anvilquery/origin.go
+++ b/anvilquery/origin.go
@@ -13,42 +13,172 @@
 type Origin struct {
 	config   Config
 	counters Counters
+	services map[anvilmodel.ServiceName]*service
+	leafs    map[anvilmodel.LeafName]*leaf
+
+	// running holds the running queries by the block of their attempt numbers.
+	running map[int]*Query
+	block   int
+	free    []*Query
+
+	// epoch is the first instant that the origin was handed. Instants are kept
+	// as the time since then.
+	epoch   time.Time
+	started bool
 }
 
 // NewOrigin returns an Origin without leafs.
 func NewOrigin(config Config) *Origin {
-	return &Origin{
-		config: config.withDefaults(),
+	o := &Origin{
+		config:   config.withDefaults(),
+		services: make(map[anvilmodel.ServiceName]*service),
+		leafs:    make(map[anvilmodel.LeafName]*leaf),
+		running:  make(map[int]*Query),
 	}
+	// A leaf tells calls apart by request id and attempt only. Starting at random
+	// keeps apart the attempts of two nodes that a caller sent one request to.
+	o.block = o.config.Random.IntN(blockCount)
+	return o
 }
 
 // SetLeafs replaces the configured leafs of all services. What is known of leafs
 // that remain is kept; running queries send no new calls to removed ones.
-func (o *Origin) SetLeafs(leafs []anvilmodel.Leaf) {}
+func (o *Origin) SetLeafs(leafs []anvilmodel.Leaf) {
+	services := make(map[anvilmodel.ServiceName]*service)
+	kept := make(map[anvilmodel.LeafName]*leaf, len(leafs))
+	for _, l := range leafs {
+		if kept[l.Name] != nil {
+			continue
+		}
+		s := services[l.Service]
+		if s == nil {
+			s = o.keptService(l.Service)
+			services[l.Service] = s
+		}
+		k := o.keptLeaf(l.Name, s)
+		kept[l.Name] = k
+		s.leafs = append(s.leafs, k)
+	}
+	for name, l := range o.leafs {
+		l.removed = kept[name] != l
+		l.service.coverStale = true
+	}
+	o.services = services
+	o.leafs = kept
+}
+
+// keptService returns the service of that name without leafs.
+func (o *Origin) keptService(name anvilmodel.ServiceName) *service {
+	s := o.services[name]
+	if s == nil {
+		s = newService(name, &o.config)
+	}
+	s.leafs = nil
+	s.mapsStale = true
+	return s
+}
+
+func (o *Origin) keptLeaf(name anvilmodel.LeafName, s *service) *leaf {
+	if l := o.leafs[name]; l != nil && l.service == s {
+		return l
+	}
+	return &leaf{
+		name:     name,
+		service:  s,
+		usable:   true,
+		listedAt: unstated,
+		statedAt: unstated,
+		goneAt:   unstated,
+	}
+}
 
 // SetBudgets replaces the hedge and retry budgets of Config, for a new revision.
-func (o *Origin) SetBudgets(hedge, retry float64) {}
+// Zero allows no hedges or retries beyond those saved up.
+func (o *Origin) SetBudgets(hedge, retry float64) {
+	o.config.HedgeBudget = max(0, hedge)
+	o.config.RetryBudget = max(0, retry)
+	for _, s := range o.services {
+		s.hedge.share = o.config.HedgeBudget
+		s.retry.share = o.config.RetryBudget
+	}
+}
 
 // SetUsable says whether new calls may go to a leaf. Leafs are usable until told
 // otherwise. Use it for leafs that are leaving, taken out, or judged broken.
-func (o *Origin) SetUsable(leaf anvilmodel.LeafName, usable bool) {}
+// Names that SetLeafs did not give are ignored.
+func (o *Origin) SetUsable(name anvilmodel.LeafName, usable bool) {
+	l := o.leafs[name]
+	if l == nil || l.usable == usable {
+		return
+	}
+	l.usable = usable
+	l.service.coverStale = true
+}
 
 // ObserveState learns what a leaf states of itself at its state endpoint.
-func (o *Origin) ObserveState(state anvilmodel.LeafState, now time.Time) {}
-
-// Start begins a query and appends its first actions. A refused request has a
-// Finish action at once. The query is never nil.
-func (o *Origin) Start(request anvilmodel.Request, now time.Time, actions []Action) (*Query, []Action) {
-	return &Query{}, actions
+// Statements older than what is known already, and of unknown leafs, are ignored.
+func (o *Origin) ObserveState(state anvilmodel.LeafState, now time.Time) {
+	l := o.leafs[state.Leaf]
+	if l == nil || !l.succeedIncarnation(state.Incarnation) {
+		return
+	}
+	at := o.instant(now) - max(0, state.Age)
+	l.stateCondition(at, state.Load, state.Cold, state.Draining)
+	l.stateList(at, state.Holdings, o.config.MaximumShards)
 }
 
 // Handle hands a reply to the query whose call it answers and appends the
 // actions that follow. It returns nil and drops the reply if there is none.
 func (o *Origin) Handle(reply anvilmodel.CallReply, now time.Time, actions []Action) (*Query, []Action) {
-	return nil, actions
+	q := o.running[reply.ID.Attempt>>blockBits]
+	switch {
+	case reply.ID.Origin != o.config.Incarnation:
+		o.counters.DroppedCrossed++
+		return nil, actions
+	case q == nil:
+		o.dropLate(o.leafs[reply.Leaf], &reply, o.instant(now))
+		return nil, actions
+	case reply.ID.Request != q.request.ID:
+		o.counters.DroppedCrossed++
+		return nil, actions
+	default:
+		return q, q.Handle(reply, now, actions)
+	}
 }
 
 // Counters returns the counters.
 func (o *Origin) Counters() Counters {
 	return o.counters
 }
+
+// dropLate drops a reply to a call that is no longer outstanding. What the leaf
+// states of itself is still learned.
+func (o *Origin) dropLate(l *leaf, reply *anvilmodel.CallReply, now time.Duration) {
+	o.counters.DroppedLate++
+	if l != nil {
+		o.learn(l, reply, now)
+	}
+}
+
+// learn takes over what a leaf states of itself in a reply.
+func (o *Origin) learn(l *leaf, reply *anvilmodel.CallReply, now time.Duration) {
+	if reply.Incarnation == 0 || !l.succeedIncarnation(reply.Incarnation) {
+		return
+	}
+	l.stateCondition(now, reply.Load, reply.Cold, reply.Draining)
+	if reply.Result == anvilmodel.CallOK {
+		l.stateHolding(reply.Holding, o.config.MaximumShards)
+	}
+}
+
+func (o *Origin) instant(now time.Time) time.Duration {
+	if !o.started {
+		o.started = true
+		o.epoch = now
+	}
+	return now.Sub(o.epoch)
+}
+
+func (o *Origin) time(instant time.Duration) time.Time {
+	return o.epoch.Add(instant)
+}
--- /dev/null
+++ b/anvilquery/pool.go
@@ -0,0 +1,43 @@
+package anvilquery
+
+// freeLimit bounds the released queries that are kept for reuse.
+const freeLimit = 256
+
+// newQuery returns an empty query, if possible with the memory of a released one.
+func (o *Origin) newQuery() *Query {
+	n := len(o.free)
+	if n == 0 {
+		return &Query{
+			origin: o,
+		}
+	}
+	q := o.free[n-1]
+	o.free[n-1] = nil
+	o.free = o.free[:n-1]
+	q.done = false
+	q.released = false
+	return q
+}
+
+// Release gives the memory of a query that is done back to its origin. The
+// query must not be used afterwards. Calling it is optional.
+func (q *Query) Release() {
+	o := q.origin
+	if !q.done || q.released || len(o.free) >= freeLimit {
+		return
+	}
+	// References to bodies and leafs are cleared so that they can be collected.
+	clear(q.shards)
+	clear(q.calls)
+	*q = Query{
+		origin:   o,
+		shards:   q.shards[:0],
+		calls:    q.calls[:0],
+		done:     true,
+		released: true,
+		hedges: hedgeQueue{
+			entries: q.hedges.entries[:0],
+		},
+	}
+	o.free = append(o.free, q)
+}
--- /dev/null
+++ b/anvilquery/status.go
@@ -0,0 +1,60 @@
+package anvilquery
+
+import (
+	"time"
+
+	"anvilbridge/anvilmodel"
+)
+
+// ServiceStatus is what an origin knows of a service, for status pages.
+type ServiceStatus struct {
+	// Snapshots are the stated snapshots, newest first.
+	Snapshots []SnapshotStatus
+	// Pinned is the snapshot that a query would be pinned to now, or zero.
+	Pinned anvilmodel.Snapshot
+	// Fast, Median and Tail are the 5th, 50th and 95th percentile of the learned
+	// latency. They are zero while unknown.
+	Fast   time.Duration
+	Median time.Duration
+	Tail   time.Duration
+	// HedgeTokens and RetryTokens are what is left of the budgets.
+	HedgeTokens float64
+	RetryTokens float64
+}
+
+// SnapshotStatus says how much of a snapshot usable leafs hold.
+type SnapshotStatus struct {
+	Snapshot anvilmodel.Snapshot
+	Shards   int
+	Covered  int
+}
+
+// Status returns what is known of a service. It reports false if the service is
+// not configured.
+func (o *Origin) Status(name anvilmodel.ServiceName, now time.Time) (ServiceStatus, bool) {
+	s := o.services[name]
+	if s == nil {
+		return ServiceStatus{}, false
+	}
+	at := o.instant(now)
+	s.refresh(at)
+	s.latency.refresh(at)
+	status := ServiceStatus{
+		Fast:        s.latency.fast,
+		Median:      s.latency.median,
+		Tail:        s.latency.tail,
+		HedgeTokens: s.hedge.tokens,
+		RetryTokens: s.retry.tokens,
+	}
+	if s.best != nil {
+		status.Pinned = s.best.snapshot
+	}
+	for _, m := range s.maps {
+		status.Snapshots = append(status.Snapshots, SnapshotStatus{
+			Snapshot: m.snapshot,
+			Shards:   m.shards,
+			Covered:  m.covered,
+		})
+	}
+	return status, true
+}
