Add the caller's client

Cause: callers connect to nodes themselves, and their rules for the next address and for tickets decide whether a request can run twice.

--- /dev/null
+++ b/anvilcaller/errors.go
@@ -0,0 +1,39 @@
+package anvilcaller
+
+import (
+	"github.com/joomcode/errorx"
+
+	"anvilbridge/anvilmodel"
+)
+
+// Errors is the namespace of the errors of this package.
+var Errors = errorx.NewNamespace("anvilcaller")
+
+// Error types of requests. A refusal by a node is an *anvilmodel.Refusal.
+var (
+	// BadRequest means that the request lacks something and was not sent.
+	BadRequest = Errors.NewType("bad-request")
+	// Unreachable means that no node could be reached.
+	Unreachable = Errors.NewType("unreachable")
+	// TimedOut means that no answer came within the request's timeout.
+	TimedOut = Errors.NewType("timed-out", errorx.Timeout())
+	// BadReply is a reply that is crossed, truncated, corrupt or malformed. It
+	// wraps the error of anvilwire.
+	BadReply = Errors.NewType("bad-reply")
+	// UnknownOutcome means that a non-idempotent request may have run. It wraps
+	// the refusal or the failure that left it unknown. TicketOf returns the
+	// ticket, with which Outcome can ask again.
+	UnknownOutcome = Errors.NewType("unknown-outcome")
+)
+
+var ticketProperty = errorx.RegisterProperty("ticket")
+
+// TicketOf returns the ticket of a request whose outcome is unknown.
+func TicketOf(err error) (anvilmodel.Ticket, bool) {
+	value, ok := errorx.ExtractProperty(err, ticketProperty)
+	if !ok {
+		return anvilmodel.Ticket{}, false
+	}
+	t, ok := value.(anvilmodel.Ticket)
+	return t, ok
+}
