Add the commands node, query, status and demo

Cause: the node needs a command line and a way to see it act. Change: kong commands; anvildemo runs stand-ins and nodes in one process through phases with faults and checks the invariants.

--- a/anvilcommand/command.go
+++ b/anvilcommand/command.go
@@ -2,24 +2,72 @@
 package anvilcommand
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
 	"github.com/alecthomas/kong"
 )
 
-type commands struct{}
+// commands holds every command. Each flag can be set by the environment
+// variable ANVILBRIDGE_ and its name in upper case with underscores.
+type commands struct {
+	Node   nodeCommand   `cmd:"" help:"Run the node of an entry VM."`
+	Query  queryCommand  `cmd:"" help:"Send one query, as a caller would."`
+	Status statusCommand `cmd:"" help:"Show the state of a node."`
+	Demo   demoCommand   `cmd:"" help:"Run fakes and several nodes in one process and show how they act under load and faults."`
+}
+
+// output is where commands write.
+type output struct {
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// errReported means that the command has already said what is wrong.
+var errReported = errors.New("reported")
 
-// Run executes the command line and returns the exit code.
+// Run executes the command line and returns the exit code: 0, or 1 when the
+// command failed or was misused.
 func Run(arguments []string, stdout, stderr io.Writer) int {
-	parser, err := kong.New(&commands{}, kong.Name("anvilbridge"), kong.Writers(stdout, stderr))
+	exit := -1
+	parser, err := kong.New(
+		&commands{},
+		kong.Name("anvilbridge"),
+		kong.Description("A query tier for requests that fan out over many shards."),
+		kong.Writers(stdout, stderr),
+		kong.DefaultEnvars("ANVILBRIDGE"),
+		kong.ConfigureHelp(kong.HelpOptions{
+			Compact: true,
+		}),
+		kong.Exit(func(code int) { exit = code }),
+	)
 	if err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
-		return 1
+		return fail(stderr, err)
+	}
+	selected, err := parser.Parse(arguments)
+	if exit >= 0 {
+		// Kong has printed the help.
+		return exit
 	}
-	if _, err := parser.Parse(arguments); err != nil {
-		_, _ = fmt.Fprintln(stderr, err)
+	if err != nil {
+		return fail(stderr, err)
+	}
+	out := &output{
+		stdout: stdout,
+		stderr: stderr,
+	}
+	err = selected.Run(out)
+	if errors.Is(err, errReported) {
 		return 1
 	}
+	if err != nil {
+		return fail(stderr, err)
+	}
 	return 0
 }
+
+func fail(stderr io.Writer, err error) int {
+	_, _ = fmt.Fprintln(stderr, "anvilbridge:", err)
+	return 1
+}
--- /dev/null
+++ b/anvilcommand/status.go
@@ -0,0 +1,117 @@
+package anvilcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+
+	"anvilbridge/anvilwire"
+)
+
+// maxStatusBytes bounds the status that is read from a node.
+const maxStatusBytes = 16 << 20
+
+type statusCommand struct {
+	Address netip.AddrPort `arg:"" help:"IP:PORT of the node, where callers connect."`
+	JSON    bool           `name:"json" help:"Print the JSON reply as it is."`
+	Timeout time.Duration  `help:"Time to wait for the reply." default:"2s"`
+}
+
+// Run asks a node for its status and prints it.
+func (c *statusCommand) Run(out *output) error {
+	body, err := c.read()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		_, err := fmt.Fprintf(out.stdout, "%s\n", body)
+		return err
+	}
+	status, err := anvilwire.DecodeStatus(body)
+	if err != nil {
+		return err
+	}
+	return printStatus(out.stdout, &status)
+}
+
+func (c *statusCommand) read() ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address.String()+"/v1/status", nil)
+	if err != nil {
+		return nil, fmt.Errorf("asking %s for its status: %w", c.Address, err)
+	}
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, fmt.Errorf("asking %s for its status: %w", c.Address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
+	if err != nil {
+		return nil, fmt.Errorf("reading the status of %s: %w", c.Address, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("asking %s for its status: %s: %s", c.Address, response.Status, body)
+	}
+	return body, nil
+}
+
+func printStatus(w io.Writer, s *anvilwire.NodeStatus) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	row := func(format string, values ...any) { _, _ = fmt.Fprintf(t, format+"\n", values...) }
+	state := "serving"
+	if s.NotReady != "" {
+		state = "not ready: " + s.NotReady
+	}
+	if s.Leaving {
+		state = "leaving"
+	}
+	row("node\t%s", s.Name)
+	row("slot\t%s in %s, site %s", s.Slot, s.FailureDomain, s.Site)
+	row("state\t%s", state)
+	row("revision\t%d", s.Revision)
+	row("incarnation\t%d", s.Incarnation)
+	row("isolated\t%t", s.Isolated)
+	row("queries\t%d of %d", s.QueriesInFlight, s.QueryLimit)
+	row("\nFAILURE DOMAIN\tSTATE")
+	for _, d := range s.Domains {
+		row("%s\t%s", d.Name, d.State)
+	}
+	row("\nMEMBER\tSLOT\tFAILURE DOMAIN\tSTATUS\tSERVING\tLOAD\tREVISION\tCALLERS\tINCARNATION")
+	for _, m := range s.Members {
+		row("%s\t%s\t%s\t%s\t%t\t%.2f\t%d\t%s\t%d", m.Name, m.Slot, m.FailureDomain, m.Status, m.Serving, m.Load, m.Revision, m.CallerAddress, m.Incarnation)
+	}
+	row("\nLEAF\tFAILURE DOMAIN\tRANK\tSTATE\tBREAKER\tQUEUE\tRUNNING\tLIMIT\tCONNECTIONS")
+	for _, l := range s.Leafs {
+		row("%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\t%d", l.Leaf, l.FailureDomain, l.Rank, leafState(l), l.Breaker, l.Queue, l.InFlight, l.Limit, l.Connections)
+	}
+	row("\nTIME\tEVENT\tSUBJECT\tREVISION\tCAUSE")
+	for _, e := range s.Events {
+		row("%s\t%s\t%s\t%d\t%s", e.Time.Format(time.RFC3339), e.Kind, e.Subject, e.Revision, e.Cause)
+		for _, c := range e.Changes {
+			row("\t\t%s\t\t%s -> %s", c.Path, c.Old, c.New)
+		}
+	}
+	return t.Flush()
+}
+
+func leafState(l anvilwire.LeafStatus) string {
+	switch {
+	case l.Out:
+		return "out"
+	case l.Draining:
+		return "draining"
+	case l.Cold && l.Quiet > 0:
+		return "cold, quiet for " + l.Quiet.Round(time.Millisecond).String()
+	case l.Cold:
+		return "cold"
+	default:
+		return "warm"
+	}
+}
--- /dev/null
+++ b/anvildemo/fleet.go
@@ -0,0 +1,283 @@
+// Package anvildemo runs stand-ins and several nodes in one process under a
+// short load with faults, and checks what must hold.
+package anvildemo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilnode"
+	"anvilbridge/anvilquery"
+	"anvilbridge/anvilstandin"
+)
+
+// baseDocument and overlayDocument are the names at the configuration service.
+const (
+	baseDocument    = "base"
+	overlayDocument = "overlay-" + site
+)
+
+var failureDomains = []anvilmodel.FailureDomain{"fd-1", "fd-2", "fd-3"}
+
+// services are shaped like the deployment of a registry: a portal that is
+// searched broadly, non-idempotent certifications, and an archive.
+func services() []serviceText {
+	return []serviceText{
+		{
+			name:            "registry-portal",
+			slots:           3,
+			connections:     30,
+			coldConcurrency: 2,
+			classes: []classText{
+				{
+					name: "buyers",
+					text: "mode: broad, timeout: 110ms",
+				},
+				{
+					name: "foremen",
+					text: "mode: urgent, timeout: 60ms, coverage-floor: 0.8",
+				},
+			},
+		},
+		{
+			name:            "grade-certification",
+			slots:           3,
+			connections:     30,
+			coldConcurrency: 2,
+			classes: []classText{
+				{
+					name: "certify",
+					text: "mode: urgent, timeout: 400ms, non-idempotent: true, priority: 30",
+				},
+			},
+		},
+		{
+			name:            "archive-desk",
+			slots:           4,
+			connections:     100,
+			coldConcurrency: 2,
+			classes: []classText{
+				{
+					name: "clerks",
+					text: "mode: patient, timeout: 500ms",
+				},
+			},
+		},
+	}
+}
+
+func standInServices() []anvilstandin.ServiceConfig {
+	shapes := map[anvilmodel.ServiceName][2]int{
+		"registry-portal":     {20, 2},
+		"grade-certification": {10, 2},
+		"archive-desk":        {1, 6},
+	}
+	configs := []anvilstandin.ServiceConfig{}
+	for _, s := range services() {
+		configs = append(configs, anvilstandin.ServiceConfig{
+			Name:            s.name,
+			Shards:          shapes[s.name][0],
+			Replicas:        shapes[s.name][1],
+			Slots:           s.slots,
+			QueueLength:     s.slots,
+			ConnectionLimit: s.connections,
+			ColdConcurrency: s.coldConcurrency,
+			ServiceTime: anvilstandin.ServiceTime{
+				Median:          3 * time.Millisecond,
+				Sigma:           0.3,
+				StragglerShare:  0.01,
+				StragglerFactor: 8,
+			},
+		})
+	}
+	return configs
+}
+
+// fleet is the stand-ins and the nodes of a demo.
+type fleet struct {
+	cluster *anvilstandin.Cluster
+	members []*fleetNode
+	seed    uint64
+	log     zerolog.Logger
+}
+
+type fleetNode struct {
+	node   *anvilnode.Node
+	listed anvilmodel.ListedVM
+	slot   anvilmodel.SlotName
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	err    error
+}
+
+// startFleet starts the stand-ins and one node for each entry slot.
+func startFleet(nodes int, seed uint64, log zerolog.Logger) (*fleet, error) {
+	cluster, err := anvilstandin.NewCluster(anvilstandin.ClusterConfig{
+		Services:       standInServices(),
+		FailureDomains: failureDomains,
+		Seed:           seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{
+		cluster: cluster,
+		seed:    seed,
+		log:     log,
+	}
+	slots := []slotText{}
+	for i := range nodes {
+		slots = append(slots, slotText{
+			name:   anvilmodel.SlotName(fmt.Sprintf("entry-%d", i+1)),
+			domain: failureDomains[i%len(failureDomains)],
+		})
+	}
+	cluster.Config().SetDocument(baseDocument, []byte(baseFile(services(), cluster.Leafs(), failureDomains, slots)))
+	cluster.Config().SetDocument(overlayDocument, []byte(overlayText("")))
+	listeners, err := f.prepare(slots)
+	if err != nil {
+		f.stop()
+		return nil, err
+	}
+	for i, m := range f.members {
+		if err := f.startNode(m, listeners[2*i], listeners[2*i+1], uint64(i)); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// prepare opens the listeners first, so that the list of VMs names every node
+// before any of them starts.
+func (f *fleet) prepare(slots []slotText) ([]net.Listener, error) {
+	listeners := []net.Listener{}
+	vms := []anvilmodel.ListedVM{}
+	for i, s := range slots {
+		addresses := [2]netip.AddrPort{}
+		for k := range addresses {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return nil, fmt.Errorf("listening for node %d: %w", i+1, err)
+			}
+			listeners = append(listeners, l)
+			addresses[k] = l.Addr().(*net.TCPAddr).AddrPort()
+		}
+		m := &fleetNode{
+			slot: s.name,
+			listed: anvilmodel.ListedVM{
+				Name:          anvilmodel.VMName(fmt.Sprintf("vm-%d", i+1)),
+				CallerAddress: addresses[0],
+				PeerAddress:   addresses[1],
+				FailureDomain: s.domain,
+			},
+		}
+		f.members = append(f.members, m)
+		vms = append(vms, m.listed)
+	}
+	f.cluster.VMs().Set(vms...)
+	return listeners, nil
+}
+
+func (f *fleet) startNode(m *fleetNode, callers, peers net.Listener, number uint64) error {
+	node, err := anvilnode.New(anvilnode.Config{
+		Name:           m.listed.Name,
+		Site:           site,
+		Slot:           m.slot,
+		FailureDomain:  m.listed.FailureDomain,
+		CallerAddress:  m.listed.CallerAddress,
+		PeerAddress:    m.listed.PeerAddress,
+		CallerListener: callers,
+		PeerListener:   peers,
+		ConfigService:  f.cluster.Config().Address(),
+		VMList:         f.cluster.VMs().Address(),
+		Seed:           f.seed + number + 1,
+		Log:            f.log.With().Str("node", string(m.listed.Name)).Logger(),
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.node = node
+	m.cancel = cancel
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		m.err = node.Run(ctx)
+	}()
+	return nil
+}
+
+// awaitReady waits until every node serves.
+func (f *fleet) awaitReady(ctx context.Context) error {
+	for _, m := range f.members {
+		for {
+			reason := m.node.Status().NotReady
+			if reason == "" {
+				break
+			}
+			if ctx.Err() != nil {
+				return fmt.Errorf("waiting for %s: %s", m.listed.Name, reason)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// awaitRevision waits until a revision is in force at every running node and
+// returns how long that took.
+func (f *fleet) awaitRevision(ctx context.Context, version uint64) (time.Duration, error) {
+	started := time.Now()
+	for _, m := range f.members {
+		for !m.node.Status().Leaving && m.node.Status().Revision < version {
+			if ctx.Err() != nil {
+				return 0, fmt.Errorf("waiting for revision %d at %s: revision %d is in force", version, m.listed.Name, m.node.Status().Revision)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return time.Since(started), nil
+}
+
+// seeds are the addresses that callers ask first.
+func (f *fleet) seeds() []netip.AddrPort {
+	seeds := []netip.AddrPort{}
+	for _, m := range f.members {
+		seeds = append(seeds, m.listed.CallerAddress)
+	}
+	return seeds
+}
+
+// counters sums the query counters of all nodes.
+func (f *fleet) counters() anvilquery.Counters {
+	var sum anvilquery.Counters
+	for _, m := range f.members {
+		c := m.node.Counters()
+		sum.Calls += c.Calls
+		sum.HedgesSent += c.HedgesSent
+		sum.HedgesWon += c.HedgesWon
+		sum.Retries += c.Retries
+		sum.Restarts += c.Restarts
+	}
+	return sum
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.members {
+		if m.cancel != nil {
+			m.cancel()
+		}
+	}
+	for _, m := range f.members {
+		m.done.Wait()
+	}
+	f.cluster.Shutdown()
+}
--- a/anvilnode/handlers.go
+++ b/anvilnode/handlers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"anvilbridge/anviladdress"
-	"anvilbridge/anvilconfig"
 	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
@@ -18,6 +17,10 @@
 // named refuses queries: an answer may have been sent just before.
 const addressGrace = time.Second
 
+// bodyLimitBeforeConfig bounds a query body while no configuration is in force, in
+// bytes.
+const bodyLimitBeforeConfig = 1 << 20
+
 // peerHandlers joins the node-to-node server to the node.
 func (n *Node) peerHandlers() anvilpeer.Handlers {
 	return anvilpeer.Handlers{
@@ -70,7 +73,7 @@
 	if v := n.view.Load(); v != nil {
 		return v.settings.Limits.MaxBodyBytes
 	}
-	return anvilconfig.DefaultMaxBodyBytes
+	return bodyLimitBeforeConfig
 }
 
 // addresses answers a caller that asks which nodes to use.
--- a/anvilnode/status.go
+++ b/anvilnode/status.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"anvilbridge/anvilquery"
 	"anvilbridge/anvilwire"
 )
 
@@ -73,3 +74,13 @@
 		Silent:        s.Counters.Silent,
 	}
 }
+
+// Counters returns what this node has counted as an origin of queries.
+func (n *Node) Counters() anvilquery.Counters {
+	n.originLock.Lock()
+	defer n.originLock.Unlock()
+	if n.origin == nil {
+		return anvilquery.Counters{}
+	}
+	return n.origin.Counters()
+}
