--- a/anvilcommand/command.go
+++ b/anvilcommand/command.go
@@ -12,10 +12,11 @@
 // commands holds every command. Each flag can be set by the environment
 // variable ANVILBRIDGE_ and its name in upper case with underscores.
 type commands struct {
-	Node   nodeCommand   `cmd:"" help:"Run the node of an entry VM."`
-	Query  queryCommand  `cmd:"" help:"Send one query, as a caller would."`
-	Status statusCommand `cmd:"" help:"Show the state of a node."`
-	Demo   demoCommand   `cmd:"" help:"Run fakes and several nodes in one process and show how they act under load and faults."`
+	Node    nodeCommand    `cmd:"" help:"Run the node of an entry VM."`
+	Query   queryCommand   `cmd:"" help:"Send one query, as a caller would."`
+	Status  statusCommand  `cmd:"" help:"Show the state of a node."`
+	StandIn standInCommand `cmd:"" name:"stand-in" help:"Run small fakes of the platform and the upstreams in the foreground."`
+	Demo    demoCommand    `cmd:"" help:"Run fakes and several nodes in one process and show how they act under load and faults."`
 }
 
 // output is where commands write.
--- a/anvildemo/fleet.go
+++ b/anvildemo/fleet.go
@@ -119,11 +119,8 @@
 
 // startFleet starts the stand-ins and one node for each entry slot.
 func startFleet(nodes int, seed uint64, log zerolog.Logger) (*fleet, error) {
-	cluster, err := anvilstandin.NewCluster(anvilstandin.ClusterConfig{
-		Services:       standInServices(),
-		FailureDomains: failureDomains,
-		Seed:           seed,
-	})
+	slots := entrySlots(nodes)
+	cluster, err := startCluster(slots, seed)
 	if err != nil {
 		return nil, err
 	}
@@ -132,15 +129,6 @@
 		seed:    seed,
 		log:     log,
 	}
-	slots := []slotText{}
-	for i := range nodes {
-		slots = append(slots, slotText{
-			name:   anvilmodel.SlotName(fmt.Sprintf("entry-%d", i+1)),
-			domain: failureDomains[i%len(failureDomains)],
-		})
-	}
-	cluster.Config().SetDocument(baseDocument, []byte(baseFile(services(), cluster.Leafs(), failureDomains, slots)))
-	cluster.Config().SetDocument(overlayDocument, []byte(overlayText("")))
 	listeners, err := f.prepare(slots)
 	if err != nil {
 		f.stop()
--- /dev/null
+++ b/anvildemo/standin.go
@@ -0,0 +1,101 @@
+package anvildemo
+
+import (
+	"fmt"
+	"net/netip"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilstandin"
+)
+
+// entrySlots returns the entry slots of a fleet, spread over the failure domains.
+func entrySlots(nodes int) []slotText {
+	slots := []slotText{}
+	for i := range nodes {
+		slots = append(slots, slotText{
+			name:   anvilmodel.SlotName(fmt.Sprintf("entry-%d", i+1)),
+			domain: failureDomains[i%len(failureDomains)],
+		})
+	}
+	return slots
+}
+
+// startCluster starts the stand-ins with a base file and an overlay for them.
+func startCluster(slots []slotText, seed uint64) (*anvilstandin.Cluster, error) {
+	cluster, err := anvilstandin.NewCluster(anvilstandin.ClusterConfig{
+		Services:       standInServices(),
+		FailureDomains: failureDomains,
+		Seed:           seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	cluster.Config().SetDocument(baseDocument, []byte(baseFile(services(), cluster.Leafs(), failureDomains, slots)))
+	cluster.Config().SetDocument(overlayDocument, []byte(overlayText("")))
+	return cluster, nil
+}
+
+// StandInConfig sets up StandIns.
+type StandInConfig struct {
+	Nodes int
+	// FirstPort is the loopback port of the first entry VM for callers; the next
+	// one is its port for peers, and so on.
+	FirstPort uint16
+	Seed      uint64
+}
+
+// StandIns are the fakes that nodes can be started against by hand.
+type StandIns struct {
+	ConfigService netip.AddrPort
+	VMList        netip.AddrPort
+	Control       netip.AddrPort
+
+	cluster *anvilstandin.Cluster
+	vms     []anvilmodel.ListedVM
+	slots   []slotText
+}
+
+// StartStandIns starts the fakes. The list names the entry VMs at once. It
+// returns the errors of anvilstandin.
+func StartStandIns(c StandInConfig) (*StandIns, error) {
+	slots := entrySlots(c.Nodes)
+	cluster, err := startCluster(slots, c.Seed)
+	if err != nil {
+		return nil, err
+	}
+	s := &StandIns{
+		ConfigService: cluster.Config().Address(),
+		VMList:        cluster.VMs().Address(),
+		Control:       cluster.ControlAddress(),
+		cluster:       cluster,
+		slots:         slots,
+	}
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	for i, slot := range slots {
+		port := c.FirstPort + uint16(2*i)
+		s.vms = append(s.vms, anvilmodel.ListedVM{
+			Name:          anvilmodel.VMName(fmt.Sprintf("vm-%d", i+1)),
+			CallerAddress: netip.AddrPortFrom(loopback, port),
+			PeerAddress:   netip.AddrPortFrom(loopback, port+1),
+			FailureDomain: slot.domain,
+		})
+	}
+	cluster.VMs().Set(s.vms...)
+	return s, nil
+}
+
+// NodeCommands returns the command line of each entry VM's node.
+func (s *StandIns) NodeCommands() []string {
+	commands := []string{}
+	for i, vm := range s.vms {
+		commands = append(commands, fmt.Sprintf(
+			"anvilbridge node --name %s --site %s --slot %s --failure-domain %s --caller-address %s --peer-address %s --config-service %s --vm-list %s",
+			vm.Name, site, s.slots[i].name, vm.FailureDomain, vm.CallerAddress, vm.PeerAddress, s.ConfigService, s.VMList))
+	}
+	return commands
+}
+
+// Shutdown stops the fakes.
+func (s *StandIns) Shutdown() {
+	s.cluster.Shutdown()
+}
