--- a/anvilleaf/config.go
+++ b/anvilleaf/config.go
@@ -54,3 +54,37 @@
 	// assignment. It is added to the quiet period when Cold grows.
 	Settle time.Duration
 }
+
+// callConnections returns how many connections may carry calls.
+func (s Share) callConnections() int {
+	return max(s.Connections-1, 1)
+}
+
+// withDefaults fills in what was left zero.
+func (c Config) withDefaults() Config {
+	c.Slots = max(c.Slots, 1)
+	if c.WarmMaximum == 0 {
+		c.WarmMaximum = 2 * c.Slots
+	}
+	if c.QueuePerSlot == 0 {
+		c.QueuePerSlot = defaultQueuePerSlot
+	}
+	if c.ConnectTime == 0 {
+		c.ConnectTime = defaultConnectTime
+	}
+	if c.CallMargin == 0 {
+		c.CallMargin = defaultCallMargin
+	}
+	if c.Rule == nil {
+		c.Rule = DefaultRule
+	}
+	if c.Audit == nil {
+		c.Audit = func(Event) {}
+	}
+	return c
+}
+
+// queueSize returns the greatest number of waiting calls.
+func (c Config) queueSize() int {
+	return c.Slots * c.QueuePerSlot
+}
--- a/anvilleaf/status.go
+++ b/anvilleaf/status.go
@@ -75,3 +75,53 @@
 	Fast     time.Duration
 	Counters Counters
 }
+
+// Status returns a view for operators and for the choice of a leaf.
+func (d *Dispatcher) Status(now time.Time) Status {
+	s := Status{
+		Leaf:        d.config.Leaf,
+		Incarnation: d.judgement.incarnation,
+		Queue:       d.queue.len(),
+		InFlight:    d.inFlight(),
+		Limit:       d.startLimit(now),
+		Adaptive:    d.limit,
+		Cold:        d.judgement.cold,
+		Ramping:     d.judgement.ramping,
+		Breaker:     d.breaker.state(now),
+		Connections: d.live,
+		Idle:        d.count(connectionIdle),
+		Suspect:     d.suspects,
+		Out:         d.out,
+		Leaving:     d.leaving,
+		Draining:    d.draining,
+		Isolated:    d.isolated,
+		Quiet:       max(d.quietUntil.Sub(now), 0),
+		Load:        d.load,
+		LoadAge:     -1,
+		Typical:     d.latency.recent,
+		Fast:        d.latency.fastest(),
+		Counters:    d.counters,
+	}
+	if !d.loadAt.IsZero() {
+		s.LoadAge = now.Sub(d.loadAt)
+	}
+	return s
+}
+
+// startLimit returns the limit under which calls may start at now.
+func (d *Dispatcher) startLimit(now time.Time) int {
+	if d.away() {
+		return 0
+	}
+	if d.judgement.cold && (d.isolated || now.Before(d.quietUntil)) {
+		return 0
+	}
+	switch d.breaker.state(now) {
+	case BreakerOpen:
+		return 0
+	case BreakerHalfOpen:
+		return min(d.limitNow(), 1)
+	default:
+		return d.limitNow()
+	}
+}
