--- a/anvilquery/latency.go
+++ b/anvilquery/latency.go
@@ -24,6 +24,9 @@
 	// distribution has a 95th percentile of 4.3 times its median; beyond 8 times
 	// the tail consists of failures, which must not delay hedges.
 	tailCap = 8
+	// tailMargin adds a sixteenth to the tail. Replies of a service whose latency
+	// hardly varies would otherwise be hedged just as they arrive.
+	tailMargin = 16
 )
 
 // Percentiles that are learned for each service.
@@ -146,7 +149,7 @@
 	if l.tail == 0 {
 		return max(floor, length/4)
 	}
-	delay := l.tail
+	delay := l.tail + l.tail/tailMargin
 	if l.median > 0 {
 		delay = min(delay, tailCap*l.median)
 	}
--- a/anvilquery/leaf.go
+++ b/anvilquery/leaf.go
@@ -88,38 +88,33 @@
 // calls that were sent before the circuit opened do not lengthen the back-off.
 func (l *leaf) failed(probe bool, now time.Duration) bool {
 	l.failures++
-	if l.open {
-		if probe {
-			l.backOff = min(2*l.backOff, backOffMaximum)
-			l.probeAt = now + l.backOff
-			l.service.coverStale = true
-		}
-		return false
-	}
-	if l.failures < circuitFailures {
-		return false
-	}
-	l.openCircuit(now)
-	return true
+	return l.setAside(l.failures >= circuitFailures, probe, now)
 }
 
 // outrun counts a call that a hedge to another leaf won against. It reports
 // whether the circuit opened.
-func (l *leaf) outrun(now time.Duration) bool {
+func (l *leaf) outrun(probe bool, now time.Duration) bool {
 	l.lost++
-	if l.open || l.lost < circuitLost {
-		return false
-	}
-	l.openCircuit(now)
-	return true
+	return l.setAside(l.lost >= circuitLost, probe, now)
 }
 
-func (l *leaf) openCircuit(now time.Duration) {
-	l.open = true
-	l.probing = false
-	l.backOff = backOffMinimum
+// setAside opens the circuit, or lengthens the back-off after a probe that
+// brought nothing. It reports whether the circuit opened.
+func (l *leaf) setAside(due, probe bool, now time.Duration) bool {
+	opens := due && !l.open
+	switch {
+	case opens:
+		l.open = true
+		l.probing = false
+		l.backOff = backOffMinimum
+	case l.open && probe:
+		l.backOff = min(2*l.backOff, backOffMaximum)
+	default:
+		return false
+	}
 	l.probeAt = now + l.backOff
 	l.service.coverStale = true
+	return opens
 }
 
 // probeDue reports whether the one probe of this back-off may be sent.
--- a/anvilquery/reply.go
+++ b/anvilquery/reply.go
@@ -78,10 +78,11 @@
 		q.origin.counters.HedgesWon++
 	}
 	for m := s.last; m >= 0 && s.open > 0; m = q.calls[m].previous {
-		if q.calls[m].ended {
+		loser := &q.calls[m]
+		if loser.ended {
 			continue
 		}
-		if c.kind == callHedge && q.calls[m].leaf.outrun(q.now) {
+		if c.kind == callHedge && loser.leaf.outrun(loser.probe, q.now) {
 			q.origin.counters.CircuitsOpened++
 		}
 		actions = q.cancel(int(m), actions)
