--- a/anvilwire/answer.go
+++ b/anvilwire/answer.go
@@ -1,7 +1,6 @@
 package anvilwire
 
 import (
-	"encoding/base64"
 	"unicode/utf8"
 
 	"anvilbridge/anvilmodel"
@@ -25,13 +24,27 @@
 // it, and any other body as base64. Exactly one of the two is set.
 type partBody struct {
 	Shard  int     `json:"shard"`
-	Body   *string `json:"body,omitempty"`
-	Base64 *string `json:"body-base64,omitempty"`
+	Body   *text   `json:"body,omitempty"`
+	Base64 *[]byte `json:"body-base64,omitempty"`
+}
+
+// text is UTF-8 that JSON carries as a string. Unlike a conversion to string
+// it is not copied.
+type text []byte
+
+// MarshalText returns the bytes themselves.
+func (t *text) MarshalText() ([]byte, error) {
+	return *t, nil
+}
+
+// UnmarshalText copies the bytes, which belong to the decoder.
+func (t *text) UnmarshalText(data []byte) error {
+	*t = append(make(text, 0, len(data)), data...)
+	return nil
 }
 
 // AppendAnswer appends the JSON body of an answer.
 func AppendAnswer(dst []byte, a *anvilmodel.Answer) ([]byte, error) {
-	texts := make([]string, len(a.Parts))
 	body := answerBody{
 		RequestID: string(a.RequestID),
 		Snapshot:  uint64(a.Snapshot),
@@ -39,15 +52,14 @@
 		Parts:     make([]partBody, len(a.Parts)),
 		Took:      a.Took.String(),
 	}
-	for i, p := range a.Parts {
+	for i := range a.Parts {
+		p := &a.Parts[i]
 		body.Parts[i].Shard = int(p.Shard)
 		if utf8.Valid(p.Body) {
-			texts[i] = string(p.Body)
-			body.Parts[i].Body = &texts[i]
-			continue
+			body.Parts[i].Body = (*text)(&p.Body)
+		} else {
+			body.Parts[i].Base64 = &p.Body
 		}
-		texts[i] = base64.StdEncoding.EncodeToString(p.Body)
-		body.Parts[i].Base64 = &texts[i]
 	}
 	return appendJSON(dst, &body, "answer")
 }
@@ -90,14 +102,10 @@
 		return p, Malformed.New("decode part of shard %d: want either body or body-base64", b.Shard)
 	}
 	if b.Body != nil {
-		p.Body = []byte(*b.Body)
-		return p, nil
-	}
-	data, err := base64.StdEncoding.DecodeString(*b.Base64)
-	if err != nil {
-		return p, Malformed.Wrap(err, "decode part of shard %d", b.Shard)
+		p.Body = *b.Body
+	} else {
+		p.Body = *b.Base64
 	}
-	p.Body = data
 	return p, nil
 }
 
--- /dev/null
+++ b/anvilwire/decode_test.go
@@ -0,0 +1,203 @@
+package anvilwire_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilwire"
+)
+
+func errorOf[T any](decode func([]byte) (T, error)) func(string) error {
+	return func(text string) error {
+		_, err := decode([]byte(text))
+		return err
+	}
+}
+
+// TestBadInputIsMalformed guards against bad input that passes as a value, or
+// whose error has no type.
+func TestBadInputIsMalformed(t *testing.T) {
+	t.Parallel()
+	record := func(text string) error {
+		_, _, err := anvilwire.DecodeRecord([]byte(text))
+		return err
+	}
+	ticket := func(text string) error {
+		_, err := anvilwire.ParseTicket(text)
+		return err
+	}
+	cases := map[string]struct {
+		decode func(string) error
+		inputs []string
+	}{
+		"answer": {errorOf(anvilwire.DecodeAnswer), []string{
+			``, ` `, `{`, `{} {}`, `[]`, `{"took":"1"}`, `{"took":"-1s"}`, `{"parts":[{"shard":1}]}`,
+			`{"parts":[{"shard":1,"body":"","body-base64":""}]}`, `{"parts":[{"shard":1,"body-base64":"!"}]}`,
+		}},
+		"refusal":   {errorOf(anvilwire.DecodeRefusal), []string{``, `{}`, `{"reason":"shed","retry-after":"soon"}`}},
+		"outcome":   {errorOf(anvilwire.DecodeOutcome), []string{``, `{"state":"run"}`, `{"ticket":"1.1.` + strings.Repeat("0", 32) + `","state":"maybe"}`}},
+		"record":    {record, []string{``, `3`, `{"parts":[{}]}`}},
+		"addresses": {errorOf(anvilwire.DecodeAddresses), []string{``, `{"lifetime":"x"}`, `{"addresses":[{"address":"host:1"}]}`}},
+		"leaf state": {errorOf(anvilwire.DecodeLeafState), []string{
+			``, `{}`, `{"incarnation":-1}`, `{"incarnation":1,"holdings":[{"shard":2,"shards":2}]}`, `{"incarnation":1,"holdings":[{"shard":-1,"shards":2}]}`,
+		}},
+		"configuration": {errorOf(anvilwire.DecodeConfigRead), []string{
+			``, `{"version":-1}`, `{"documents":[{"content":"x"}]}`, `{"documents":[{"name":"a"},{"name":"a"}]}`,
+		}},
+		"VM list": {errorOf(anvilwire.DecodeVMList), []string{
+			``, `{"vms":[{}]}`, `{"vms":[{"name":"a","address":"127.0.0.1:1","peer-address":"127.0.0.1:2","state":"gone"}]}`,
+			`{"vms":[{"name":"a","address":"127.0.0.1:1","peer-address":"","state":"live"}]}`,
+		}},
+		"ticket": {ticket, []string{
+			"", "1", "1.2", "1.2.", "1.2." + strings.Repeat("0", 31), "1.2." + strings.Repeat("A", 32), "01.2." + strings.Repeat("0", 32),
+			"1.02." + strings.Repeat("0", 32), "+1.2." + strings.Repeat("0", 32), "1.4294967296." + strings.Repeat("0", 32),
+			"1.2.3." + strings.Repeat("0", 32),
+		}},
+	}
+	for name, c := range cases {
+		for _, input := range c.inputs {
+			if err := c.decode(input); !errorx.IsOfType(err, anvilwire.Malformed) {
+				t.Errorf("%s %q: got %v, want a malformed error", name, input, err)
+			}
+		}
+	}
+}
+
+// TestQueryFaultsAreReportedTogether guards against callers that mend their
+// requests one fault at a time, and against refusals that say nothing of the
+// run state.
+func TestQueryFaultsAreReportedTogether(t *testing.T) {
+	t.Parallel()
+	h := http.Header{
+		anvilwire.HeaderRequestID: []string{"a/b"},
+		anvilwire.HeaderClass:     []string{"buyer"},
+		anvilwire.HeaderTimeout:   []string{"-1s"},
+		anvilwire.HeaderTicket:    []string{"1.2"},
+		anvilwire.HeaderKey:       []string{strings.Repeat("k", anvilwire.MaxNameBytes+1)},
+	}
+	_, got := anvilwire.DecodeQuery(h, nil)
+	want := &anvilmodel.Refusal{
+		Reason: anvilmodel.ReasonBadRequest,
+		Ran:    anvilmodel.RunStateNotRun,
+		Detail: "Anvil-Request-Id is not a name; Anvil-Service is missing; Anvil-Key is too long; " +
+			"Anvil-Timeout is not a positive Go duration; Anvil-Ticket is not a ticket",
+		Accepted: "Anvil-Request-Id of 1 to 128 characters from A-Z a-z 0-9 - . _ ~; Anvil-Service; Anvil-Key of at most 128 bytes; " +
+			"Anvil-Timeout as a positive Go duration, for example 250ms; Anvil-Ticket as <incarnation>.<epoch>.<32 hex digits>",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+}
+
+// TestDamagedRepliesAreDetected guards against a caller that takes a crossed,
+// truncated or corrupt reply for its own (R5).
+func TestDamagedRepliesAreDetected(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "body")
+		at := rapid.IntRange(0, len(body)-1).Draw(t, "at")
+		h := make(http.Header)
+		anvilwire.SetReplyIdentity(h, "mine", body)
+		if err := anvilwire.VerifyReply(h, "mine", body); err != nil {
+			t.Fatal(err)
+		}
+		if err := anvilwire.VerifyReply(h, "other", body); !errorx.IsOfType(err, anvilwire.Crossed) {
+			t.Fatalf("another request's reply: got %v", err)
+		}
+		if err := anvilwire.VerifyReply(h, "mine", body[:at]); !errorx.IsOfType(err, anvilwire.Truncated) {
+			t.Fatalf("the first %d of %d bytes: got %v", at, len(body), err)
+		}
+		body[at] ^= rapid.ByteRange(1, 255).Draw(t, "change")
+		if err := anvilwire.VerifyReply(h, "mine", body); !errorx.IsOfType(err, anvilwire.Corrupt) {
+			t.Fatalf("byte %d changed: got %v", at, err)
+		}
+	})
+}
+
+// TestLeafReplies guards against a leaf's reply that is taken for more than it
+// says: only a stated not-run is one (R6).
+func TestLeafReplies(t *testing.T) {
+	t.Parallel()
+	id := anvilmodel.CallID{
+		Request: "r",
+		Origin:  7,
+		Attempt: 3,
+	}
+	cases := []struct {
+		status int
+		ran    string
+		want   anvilmodel.CallResult
+		state  anvilmodel.RunState
+	}{
+		{200, "", anvilmodel.CallOK, anvilmodel.RunStateRun},
+		{503, "not-run", anvilmodel.CallShed, anvilmodel.RunStateNotRun},
+		{503, "", anvilmodel.CallFailed, anvilmodel.RunStateUnknown},
+		{503, "Not-Run", anvilmodel.CallFailed, anvilmodel.RunStateUnknown},
+		{410, "not-run", anvilmodel.CallSnapshotGone, anvilmodel.RunStateNotRun},
+		{499, "unknown", anvilmodel.CallCancelled, anvilmodel.RunStateUnknown},
+		{504, "not-run", anvilmodel.CallTimeout, anvilmodel.RunStateNotRun},
+		{500, "run", anvilmodel.CallFailed, anvilmodel.RunStateRun},
+	}
+	for _, c := range cases {
+		h := make(http.Header)
+		anvilwire.SetReplyHeader(h, &anvilmodel.CallReply{
+			ID:          id,
+			Incarnation: 9,
+			Holding: anvilmodel.Holding{
+				Snapshot: 1,
+				Shard:    0,
+				Shards:   1,
+			},
+		})
+		h.Set(anvilwire.HeaderRan, c.ran)
+		got, err := anvilwire.DecodeReply(id, c.status, h, nil)
+		if err != nil || got.Result != c.want || got.Ran != c.state {
+			t.Errorf("status %d with %q: got %s, %s, %v; want %s, %s", c.status, c.ran, got.Result, got.Ran, err, c.want, c.state)
+		}
+		h.Set(anvilwire.HeaderAttempt, "4")
+		if _, err := anvilwire.DecodeReply(id, c.status, h, nil); !errorx.IsOfType(err, anvilwire.Crossed) {
+			t.Errorf("status %d of another attempt: got %v", c.status, err)
+		}
+	}
+}
+
+// TestRefusalStatus guards against a new reason that callers see as a fault of
+// the server, and against a Retry-After that is too early.
+func TestRefusalStatus(t *testing.T) {
+	t.Parallel()
+	for _, reason := range []anvilmodel.Reason{
+		anvilmodel.ReasonBadRequest, anvilmodel.ReasonUnknownService, anvilmodel.ReasonUnknownClass, anvilmodel.ReasonBadTimeout,
+		anvilmodel.ReasonBodyTooLarge, anvilmodel.ReasonDeadline, anvilmodel.ReasonOverload, anvilmodel.ReasonShed, anvilmodel.ReasonNoSnapshot,
+		anvilmodel.ReasonNotReady, anvilmodel.ReasonLeaving, anvilmodel.ReasonDomainOut, anvilmodel.ReasonBadTicket,
+		anvilmodel.ReasonTicketUsed, anvilmodel.ReasonUpstream, anvilmodel.ReasonNodeLost,
+	} {
+		if status := anvilwire.Status(reason); status < 400 || status == http.StatusInternalServerError {
+			t.Errorf("reason %s has status %d", reason, status)
+		}
+	}
+	for after, want := range map[time.Duration]string{0: "", time.Millisecond: "1", time.Second: "1", 1001 * time.Millisecond: "2"} {
+		h := make(http.Header)
+		anvilwire.SetRefusalHeader(h, &anvilmodel.Refusal{RetryAfter: after})
+		if got := h.Get(anvilwire.HeaderRetryAfter); got != want {
+			t.Errorf("retry after %s: got %q, want %q", after, got, want)
+		}
+	}
+}
+
+func ExampleFormatTicket() {
+	t := anvilmodel.Ticket{
+		Incarnation: 1785110400000,
+		Epoch:       4,
+		ID:          "00112233445566778899aabbccddeeff",
+	}
+	fmt.Println(anvilwire.FormatTicket(t))
+	// Output: 1785110400000.4.00112233445566778899aabbccddeeff
+}
--- a/anvilwire/leafreply.go
+++ b/anvilwire/leafreply.go
@@ -34,7 +34,7 @@
 	h[HeaderRequestID] = []string{LeafRequestID(r.ID)}
 	h[HeaderAttempt] = []string{strconv.Itoa(r.ID.Attempt)}
 	h[HeaderIncarnation] = []string{strconv.FormatUint(uint64(r.Incarnation), 10)}
-	h[HeaderLoad] = []string{strconv.FormatFloat(r.Load, 'g', 4, 64)}
+	h[HeaderLoad] = []string{strconv.FormatFloat(r.Load, 'g', -1, 64)}
 	h[HeaderCold] = []string{strconv.FormatBool(r.Cold)}
 	h[HeaderDraining] = []string{strconv.FormatBool(r.Draining)}
 	h[HeaderRan] = []string{r.Ran.String()}
