--- /dev/null
+++ b/anvilcaller/node_test.go
@@ -0,0 +1,163 @@
+package anvilcaller_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilwire"
+)
+
+// TestMain guards against connections and address queries that outlive a client.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const longEnough = time.Hour
+
+// fakeNode answers as a node does, by functions that a test sets.
+type fakeNode struct {
+	server *httptest.Server
+	member anvilmodel.Member
+	// query answers a query; a nil reply closes the connection.
+	query func(q anvilwire.Query) *fakeReply
+	// outcome answers an outcome query.
+	outcome func(t anvilmodel.Ticket) anvilwire.Outcome
+
+	mu       sync.Mutex
+	named    []anvilmodel.Member
+	lifetime time.Duration
+	asked    int
+	queries  []anvilwire.Query
+}
+
+// fakeReply is what a node sends; change may damage the headers and the body.
+type fakeReply struct {
+	answer  *anvilmodel.Answer
+	refusal *anvilmodel.Refusal
+	change  func(h http.Header, body []byte) []byte
+}
+
+// startNodes starts nodes that name each other in order.
+func startNodes(t *testing.T, count int) []*fakeNode {
+	t.Helper()
+	nodes := make([]*fakeNode, count)
+	var members []anvilmodel.Member
+	for i := range nodes {
+		n := &fakeNode{
+			query:    answered,
+			lifetime: longEnough,
+		}
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET "+anvilwire.PathAddresses, n.serveAddresses)
+		mux.HandleFunc("POST "+anvilwire.PathQuery, n.serveQuery)
+		mux.HandleFunc("GET "+anvilwire.PathOutcome, n.serveOutcome)
+		n.server = httptest.NewServer(mux)
+		t.Cleanup(n.server.Close)
+		n.member = anvilmodel.Member{
+			Name:          anvilmodel.VMName(rune('a' + i)),
+			CallerAddress: netip.MustParseAddrPort(n.server.Listener.Addr().String()),
+			Incarnation:   anvilmodel.Incarnation(100 + i),
+			TicketEpoch:   3,
+		}
+		members = append(members, n.member)
+		nodes[i] = n
+	}
+	for _, n := range nodes {
+		n.named = members
+	}
+	return nodes
+}
+
+// answered answers with one part that repeats the request body.
+func answered(q anvilwire.Query) *fakeReply {
+	return &fakeReply{
+		answer: &anvilmodel.Answer{
+			RequestID: q.ID,
+			Snapshot:  1,
+			Coverage: anvilmodel.Coverage{
+				Covered: 1,
+				Total:   1,
+			},
+			Parts: []anvilmodel.Part{{Body: q.Body}},
+		},
+	}
+}
+
+// refused returns a function that refuses every query.
+func refused(reason anvilmodel.Reason, ran anvilmodel.RunState) func(anvilwire.Query) *fakeReply {
+	return func(q anvilwire.Query) *fakeReply {
+		return &fakeReply{
+			refusal: &anvilmodel.Refusal{
+				RequestID: q.ID,
+				Reason:    reason,
+				Ran:       ran,
+			},
+		}
+	}
+}
+
+func (n *fakeNode) serveAddresses(w http.ResponseWriter, _ *http.Request) {
+	n.mu.Lock()
+	n.asked++
+	answer := anvilwire.AddressAnswer{
+		Members:  n.named,
+		Lifetime: n.lifetime,
+	}
+	n.mu.Unlock()
+	body, _ := anvilwire.AppendAddresses(nil, &answer)
+	_, _ = w.Write(body)
+}
+
+func (n *fakeNode) serveQuery(w http.ResponseWriter, r *http.Request) {
+	data, _ := io.ReadAll(r.Body)
+	q, _ := anvilwire.DecodeQuery(r.Header, data)
+	n.mu.Lock()
+	n.queries = append(n.queries, q)
+	n.mu.Unlock()
+	reply := n.query(q)
+	if reply == nil {
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusOK
+	var body []byte
+	if reply.refusal != nil {
+		status = anvilwire.Status(reply.refusal.Reason)
+		body, _ = anvilwire.AppendRefusal(nil, reply.refusal)
+	} else {
+		body, _ = anvilwire.AppendAnswer(nil, reply.answer)
+	}
+	anvilwire.SetReplyIdentity(w.Header(), q.ID, body)
+	if reply.change != nil {
+		body = reply.change(w.Header(), body)
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func (n *fakeNode) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	ticket, _ := anvilwire.ParseTicket(r.URL.Query().Get(anvilwire.ParameterTicket))
+	outcome := n.outcome(ticket)
+	body, _ := anvilwire.AppendOutcome(nil, &outcome)
+	anvilwire.SetIntegrity(w.Header(), body)
+	_, _ = w.Write(body)
+}
+
+func (n *fakeNode) seen() []anvilwire.Query {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.queries
+}
+
+func (n *fakeNode) addressQueries() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.asked
+}
--- a/anvilplatform/client.go
+++ b/anvilplatform/client.go
@@ -21,14 +21,17 @@
 	defaultTimeout          = 2 * time.Second
 	defaultDialTimeout      = time.Second
 	defaultMaxDocumentBytes = 1 << 20
-	defaultMaxDocuments     = 64
+	defaultMaxDocuments     = 16
 	defaultMaxListBytes     = 4 << 20
 	idleTimeout             = 90 * time.Second
 )
 
-// jsonOverhead bounds the growth of a document by JSON escaping: a control
-// character takes 6 bytes.
-const jsonOverhead = 6
+// A reply may have twice the size of its documents, because JSON writes line
+// breaks and quotes with two bytes, and some bytes for the names.
+const (
+	jsonGrowth   = 2
+	jsonOverhead = 64 << 10
+)
 
 // Config holds the settings of a Client. Zero values take the defaults.
 type Config struct {
@@ -42,7 +45,7 @@
 	DialTimeout time.Duration
 	// MaxDocumentBytes bounds one document; 1 MB by default.
 	MaxDocumentBytes int
-	// MaxDocuments bounds the number of documents; 64 by default.
+	// MaxDocuments bounds the number of documents; 16 by default.
 	MaxDocuments int
 	// MaxListBytes bounds the reply with the VM list; 4 MB by default.
 	MaxListBytes int64
@@ -98,7 +101,7 @@
 		anvilwire.ParameterAfter: []string{strconv.FormatUint(after, 10)},
 		anvilwire.ParameterWait:  []string{wait.String()},
 	}
-	limit := int64(c.config.MaxDocumentBytes) * int64(c.config.MaxDocuments) * jsonOverhead
+	limit := int64(c.config.MaxDocumentBytes)*int64(c.config.MaxDocuments)*jsonGrowth + jsonOverhead
 	status, body, err := c.get(ctx, &request{
 		address: c.config.ConfigAddress,
 		path:    anvilwire.PathConfigRead,
--- /dev/null
+++ b/anvilplatform/client_test.go
@@ -0,0 +1,179 @@
+package anvilplatform_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/joomcode/errorx"
+	"go.uber.org/goleak"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilplatform"
+	"anvilbridge/anvilstandin"
+	"anvilbridge/anvilwire"
+)
+
+// TestMain guards against connections that outlive a client.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const longEnough = time.Hour
+
+func startPlatform(t *testing.T, c anvilplatform.Config) (*anvilstandin.ConfigService, *anvilstandin.VMList, *anvilplatform.Client) {
+	t.Helper()
+	config, err := anvilstandin.NewConfigService()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(config.Stop)
+	list, err := anvilstandin.NewVMList()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(list.Stop)
+	c.ConfigAddress = config.Address()
+	c.ListAddress = list.Address()
+	client := anvilplatform.New(c)
+	t.Cleanup(client.Shutdown)
+	return config, list, client
+}
+
+// TestReadConfig guards against documents that change on the way, and against
+// a reader that takes an older version than it has.
+func TestReadConfig(t *testing.T) {
+	config, _, client := startPlatform(t, anvilplatform.Config{})
+	config.SetDocument("sfax", []byte("b: 2\n"))
+	config.SetDocuments(anvilwire.Document{Name: "base", Content: []byte("a: \"é\"\n")})
+	want := anvilplatform.ConfigRead{
+		Version: 2,
+		Documents: []anvilwire.Document{
+			{Name: "base", Content: []byte("a: \"é\"\n")},
+			{Name: "sfax", Content: []byte("b: 2\n")},
+		},
+	}
+	got, err := client.ReadConfig(t.Context(), 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("documents (-want +got):\n%s", diff)
+	}
+	if err := config.ServeVersion(1); err != nil {
+		t.Fatal(err)
+	}
+	if got, err = client.ReadConfig(t.Context(), 2, time.Millisecond); err != nil || !got.NotModified {
+		t.Errorf("read of a stale service: got %+v, %v", got, err)
+	}
+	config.ServeLatest()
+	if got, err = client.ReadConfig(t.Context(), 1, 0); err != nil || got.Version != 2 {
+		t.Errorf("read of the latest version: got %+v, %v", got, err)
+	}
+}
+
+// TestWatchCountsAsOneRead guards against a watch that polls, which would
+// exceed the rate of the configuration service.
+func TestWatchCountsAsOneRead(t *testing.T) {
+	config, _, client := startPlatform(t, anvilplatform.Config{})
+	done := make(chan anvilplatform.ConfigRead)
+	go func() {
+		read, err := client.ReadConfig(t.Context(), 0, longEnough)
+		if err != nil {
+			t.Error(err)
+		}
+		done <- read
+	}()
+	for config.Waiting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	config.SetDocument("base", []byte("a"))
+	if read := <-done; read.Version != 1 || len(read.Documents) != 1 {
+		t.Errorf("got %+v", read)
+	}
+	if n := config.Reads(); n != 1 {
+		t.Errorf("the watch counted as %d reads", n)
+	}
+}
+
+// TestListVMs guards against a VM list that is read wrongly or not bounded in
+// time when the platform lags.
+func TestListVMs(t *testing.T) {
+	_, list, client := startPlatform(t, anvilplatform.Config{})
+	vm := anvilmodel.ListedVM{
+		Name:          "entry-1",
+		CallerAddress: netip.MustParseAddrPort("127.0.0.1:1"),
+		PeerAddress:   netip.MustParseAddrPort("127.0.0.1:2"),
+		FailureDomain: "a",
+		Leaving:       true,
+	}
+	list.Set(vm)
+	list.SetFrozen(true)
+	list.Set()
+	got, err := client.ListVMs(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]anvilmodel.ListedVM{vm}, got, cmpopts.EquateComparable(netip.AddrPort{})); diff != "" {
+		t.Errorf("lagging list (-want +got):\n%s", diff)
+	}
+	list.SetFrozen(false)
+	if got, err = client.ListVMs(t.Context()); err != nil || len(got) != 0 {
+		t.Errorf("list after the lag: got %v, %v", got, err)
+	}
+}
+
+// TestFailuresAreTyped guards against a failing, slow, absent or oversized
+// platform whose error a node cannot tell apart.
+func TestFailuresAreTyped(t *testing.T) {
+	config, list, client := startPlatform(t, anvilplatform.Config{
+		Timeout:          longEnough,
+		MaxDocumentBytes: 10,
+		MaxDocuments:     1,
+		MaxListBytes:     10,
+	})
+	hasty := anvilplatform.New(anvilplatform.Config{
+		ConfigAddress: config.Address(),
+		Timeout:       time.Millisecond,
+	})
+	defer hasty.Shutdown()
+	read := func(client *anvilplatform.Client, want *errorx.Type) {
+		t.Helper()
+		if _, err := client.ReadConfig(t.Context(), 0, 0); !errorx.IsOfType(err, want) {
+			t.Errorf("read configuration: got %v, want %s", err, want)
+		}
+	}
+	config.SetDocument("base", []byte(strings.Repeat("x", 11)))
+	read(client, anvilplatform.TooLarge)
+	config.SetDocument("base", []byte(strings.Repeat("x", 100<<10)))
+	read(client, anvilplatform.TooLarge)
+	config.SetFailing(http.StatusServiceUnavailable)
+	read(client, anvilplatform.BadStatus)
+	config.SetDelay(longEnough)
+	read(hasty, anvilplatform.TimedOut)
+	config.Stop()
+	read(client, anvilplatform.Unreachable)
+	if _, err := client.ListVMs(t.Context()); !errorx.IsOfType(err, anvilplatform.TooLarge) {
+		t.Errorf("read a list above the limit: got %v", err)
+	}
+	list.SetFailing(http.StatusTeapot)
+	if _, err := client.ListVMs(t.Context()); !errorx.IsOfType(err, anvilplatform.BadStatus) {
+		t.Errorf("read a failing list: got %v", err)
+	}
+	bad := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{`)) }))
+	defer bad.Close()
+	address := netip.MustParseAddrPort(bad.Listener.Addr().String())
+	other := anvilplatform.New(anvilplatform.Config{ConfigAddress: address, ListAddress: address})
+	defer other.Shutdown()
+	if _, err := other.ReadConfig(t.Context(), 0, 0); !errorx.IsOfType(err, anvilplatform.Malformed) {
+		t.Errorf("read malformed configuration: got %v", err)
+	}
+	if _, err := other.ListVMs(t.Context()); !errorx.IsOfType(err, anvilplatform.Malformed) {
+		t.Errorf("read malformed list: got %v", err)
+	}
+}
--- a/anvilupstream/connection.go
+++ b/anvilupstream/connection.go
@@ -166,8 +166,9 @@
 }
 
 // trackedConn knows whether bytes of a call were written. The hooks of
-// httptrace do not tell it for certain: a Transport that gives a call up may
-// still be about to write it.
+// httptrace do not tell it for certain: they run before and after buffered
+// writes, and a Transport does not promise that it writes nothing more once it
+// has given a call up.
 type trackedConn struct {
 	net.Conn
 	owner *connection
