--- a/anvilcaller/once_test.go
+++ b/anvilcaller/once_test.go
@@ -127,6 +127,10 @@
 		if n := len(nodes[1].seen()); n != 0 {
 			t.Errorf("%s: the second node got the request", name)
 		}
+		other := ticket
+		other.Epoch++
+		crossed := stated(anvilwire.OutcomeNotRun, nil)(other)
+		nodes[0].outcome = func(anvilmodel.Ticket) anvilwire.Outcome { return crossed }
 		if o, err := client.Outcome(t.Context(), ticket); err != nil || o.State != anvilwire.OutcomeUnknown {
 			t.Errorf("%s: outcome: got %+v, %v", name, o, err)
 		}
--- a/anvilstandin/control.go
+++ b/anvilstandin/control.go
@@ -46,6 +46,7 @@
 	"cold":               boolControl((*Upstream).SetCold),
 	"draining":           boolControl((*Upstream).SetDraining),
 	"out":                boolControl((*Upstream).SetOut),
+	"ignore-timeouts":    boolControl((*Upstream).SetIgnoreTimeouts),
 	"state-frozen":       boolControl((*Upstream).SetStateFrozen),
 	"silent-connections": actionControl((*Upstream).SilenceConnections),
 	"turn-cold":          actionControl((*Upstream).TurnCold),
--- a/anvilstandin/faults.go
+++ b/anvilstandin/faults.go
@@ -52,6 +52,13 @@
 	u.faults.replyDelay = d
 }
 
+// SetIgnoreTimeouts makes the leaf run calls on after their Anvil-Timeout.
+func (u *Upstream) SetIgnoreTimeouts(ignore bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.faults.ignoreTimeouts = ignore
+}
+
 // SetStateDelay makes the state endpoint slow.
 func (u *Upstream) SetStateDelay(d time.Duration) {
 	u.mu.Lock()
--- a/anvilstandin/upstream.go
+++ b/anvilstandin/upstream.go
@@ -189,10 +189,11 @@
 
 // faults holds the faults that are switched on.
 type faults struct {
-	slow       time.Duration
-	replyDelay time.Duration
-	stateDelay time.Duration
-	frozen     *anvilmodel.LeafState
-	claim      *Claim
-	replies    [faultKinds]int
+	slow           time.Duration
+	replyDelay     time.Duration
+	stateDelay     time.Duration
+	ignoreTimeouts bool
+	frozen         *anvilmodel.LeafState
+	claim          *Claim
+	replies        [faultKinds]int
 }
--- a/anvilstandin/upstreamcall.go
+++ b/anvilstandin/upstreamcall.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -20,6 +21,8 @@
 	started   chan struct{}
 	running   bool
 	cancelled chan struct{}
+	// timeout is how long the leaf may take in all.
+	timeout time.Duration
 	// service is how long the call runs, set when it starts.
 	service time.Duration
 }
@@ -45,7 +48,7 @@
 	if k == nil {
 		return refusal
 	}
-	expiry := time.NewTimer(call.Timeout)
+	expiry := time.NewTimer(k.timeout)
 	defer expiry.Stop()
 	select {
 	case <-k.started:
@@ -93,9 +96,13 @@
 		call:      call,
 		holding:   u.holdings[i],
 		body:      body,
+		timeout:   call.Timeout,
 		started:   make(chan struct{}),
 		cancelled: make(chan struct{}),
 	}
+	if u.faults.ignoreTimeouts {
+		k.timeout = math.MaxInt64
+	}
 	u.works[call.ID] = k
 	u.queue = append(u.queue, k)
 	u.countInFlight()
--- a/anvilupstream/call_test.go
+++ b/anvilupstream/call_test.go
@@ -183,13 +183,36 @@
 	client := startClient(t, anvilupstream.Config{
 		CancelGrace: longEnough,
 	})
+	wantOK(t, client.Call(t.Context(), u.Address(), 0, newCall(0, longEnough)), true)
 	u.SetSlow(longEnough)
-	out := client.Call(t.Context(), u.Address(), 0, newCall(1, 20*time.Millisecond))
-	if out.Reply.Result != anvilmodel.CallTimeout || out.Reply.Ran != anvilmodel.RunStateUnknown {
-		t.Fatalf("got %s, %s", out.Reply.Result, out.Reply.Ran)
+	for attempt, ignore := range []bool{false, true} {
+		u.SetIgnoreTimeouts(ignore)
+		out := client.Call(t.Context(), u.Address(), 0, newCall(1+attempt, time.Second))
+		if out.Reply.Result != anvilmodel.CallTimeout || out.Opened || out.Err != nil {
+			t.Fatalf("leaf ignores timeouts %t: got %s, %v, opened %t", ignore, out.Reply.Result, out.Err, out.Opened)
+		}
 	}
 	u.SetSlow(0)
-	wantOK(t, client.Call(t.Context(), u.Address(), 0, newCall(2, longEnough)), false)
+	wantOK(t, client.Call(t.Context(), u.Address(), 0, newCall(3, longEnough)), false)
+}
+
+// TestConnectionCarriesOneCall guards against a second connection behind one
+// number, which would exceed the share of the leaf's connection limit.
+func TestConnectionCarriesOneCall(t *testing.T) {
+	u := startLeaf(t, nil)
+	client := startClient(t, anvilupstream.Config{})
+	u.SetSlow(longEnough)
+	busy := make(chan anvilupstream.Outcome)
+	go func() { busy <- client.Call(t.Context(), u.Address(), 0, newCall(1, longEnough)) }()
+	eventually(t, func() bool { return u.Stats().Executed == 1 })
+	out := client.Call(t.Context(), u.Address(), 0, newCall(2, 20*time.Millisecond))
+	if out.Reply.Result != anvilmodel.CallTimeout || out.Reply.Ran != anvilmodel.RunStateNotRun || out.BytesWritten {
+		t.Errorf("second call: got %s, %s, bytes written %t", out.Reply.Result, out.Reply.Ran, out.BytesWritten)
+	}
+	client.Close(u.Address(), 0)
+	if out = <-busy; out.Reply.Result != anvilmodel.CallBroken {
+		t.Errorf("call on a closed connection: got %s", out.Reply.Result)
+	}
 }
 
 // TestSilentConnection guards against a connection that went silent and holds
