--- a/anvildemo/standin.go
+++ b/anvildemo/standin.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 
+	"anvilbridge/anvilconfig"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilstandin"
 )
@@ -99,3 +100,17 @@
 func (s *StandIns) Shutdown() {
 	s.cluster.Shutdown()
 }
+
+// Documents returns the published base file and overlay.
+func (s *StandIns) Documents() []anvilconfig.Document {
+	return []anvilconfig.Document{
+		{
+			Name:    baseDocument,
+			Content: []byte(baseFile(services(), s.cluster.Leafs(), failureDomains, s.slots)),
+		},
+		{
+			Name:    overlayDocument,
+			Content: []byte(overlayText("")),
+		},
+	}
+}
