Add failure tests and fleet properties of the leaf dispatcher

A fake leaf in virtual time serves the tests: three candidates with the shares of a cold leaf meet restarts, silent connections, pauses and replacements at random. Learning the usual service time now stops while recent calls are slow; before, a rise to 6 times the usual was learned faster than it was noticed. A connection that answers as two incarnations is closed.

--- a/anvilleaf/config.go
+++ b/anvilleaf/config.go
@@ -66,6 +66,7 @@
 	if c.WarmMaximum == 0 {
 		c.WarmMaximum = 2 * c.Slots
 	}
+	c.WarmMaximum = max(c.WarmMaximum, c.Slots)
 	if c.QueuePerSlot == 0 {
 		c.QueuePerSlot = defaultQueuePerSlot
 	}
--- a/anvilleaf/connection.go
+++ b/anvilleaf/connection.go
@@ -37,6 +37,8 @@
 	openedAt    time.Time
 	openBy      time.Time
 	usedAt      time.Time
+	// crossed is set once it has answered as another incarnation than before.
+	crossed bool
 	// replied is set once a call was answered over it.
 	replied bool
 	// timeouts counts calls and cancellations in a row without an answer.
@@ -175,7 +177,7 @@
 
 // surplus reports whether an idle connection is not to be kept.
 func (d *Dispatcher) surplus(c *connection) bool {
-	if d.live > d.config.Share.callConnections() {
+	if c.crossed || d.live > d.config.Share.callConnections() {
 		return true
 	}
 	return c.incarnation != 0 && c.incarnation != d.judgement.incarnation
--- a/anvilleaf/judge.go
+++ b/anvilleaf/judge.go
@@ -52,6 +52,10 @@
 	d.audit(EventNewIncarnation, "incarnation not seen before", 0)
 	d.makeCold("new incarnation", false)
 	d.draining = false
+	if d.breaker.open {
+		// The failures were another process's; one probe may go at once.
+		d.breaker.retryAt = d.now
+	}
 	for n := range d.connections {
 		c := &d.connections[n]
 		if c.state == connectionIdle && c.incarnation != 0 && c.incarnation != i {
@@ -71,6 +75,7 @@
 	c.replied = true
 	if c.incarnation != 0 && c.incarnation != r.Incarnation {
 		d.counters.Mismatched++
+		c.crossed = true
 	}
 	c.incarnation = r.Incarnation
 	if !d.observeIncarnation(r.Incarnation, c.openedAt) {
@@ -278,6 +283,13 @@
 	}
 	d.audit(EventBreakerOpen, cause, 0)
 	d.shrunk = true
+	// Idle connections may have gone silent together with those that failed,
+	// so the probe goes over a fresh one.
+	for n := range d.connections {
+		if d.connections[n].state == connectionIdle {
+			d.close(n)
+		}
+	}
 	if !j.cold {
 		d.ramp()
 	}
--- a/anvilleaf/latency.go
+++ b/anvilleaf/latency.go
@@ -11,9 +11,12 @@
 	floorRise   = 100
 	recentShare = 16
 	usualShare  = 128
+	// usualSlowShare is used instead while recent calls take half as long again
+	// as usual, so that distress is not learned as usual while it builds up.
+	usualSlowShare = 4096
 	// distressSamples is the number of calls after which the usual service
 	// time of a warm leaf is trusted.
-	distressSamples = 16
+	distressSamples = 32
 	// distressFactor times the usual service time is distress.
 	distressFactor = 4
 	// distressLeast keeps jitter of very short calls from counting as distress.
@@ -48,11 +51,14 @@
 		return
 	}
 	l.warmSample++
-	if l.usual == 0 {
-		l.usual = l.recent
+	switch {
+	case l.warmSample <= distressSamples:
+		l.usual += (t - l.usual) / time.Duration(l.warmSample)
+	case 2*l.recent > 3*l.usual:
+		l.usual += (t - l.usual) / usualSlowShare
+	default:
+		l.usual += (t - l.usual) / usualShare
 	}
-	// The first calls count more, so that one odd call does not set the mean.
-	l.usual += (t - l.usual) / time.Duration(min(l.warmSample+1, usualShare))
 }
 
 // restart forgets the usual service time; the leaf has just become warm.
--- /dev/null
+++ b/anvilleaf/property_test.go
@@ -0,0 +1,204 @@
+package anvilleaf_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"anvilbridge/anvilleaf"
+	"anvilbridge/anvilmodel"
+)
+
+// TestMain fixes the seed of the properties, so that every run is the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	m.Run()
+}
+
+const longest = 100 * time.Millisecond
+
+// fleet is three candidates with the shares of a cold leaf, on one fake leaf.
+type fleet struct {
+	*sim
+	t       *rapid.T
+	configs []anvilleaf.Config
+	current []*node
+	ids     []anvilmodel.CallID
+	owners  []*node
+	bound   int
+}
+
+func newFleet(t *rapid.T) *fleet {
+	bound := rapid.IntRange(1, 3).Draw(t, "cold-concurrency")
+	r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+	f := &fleet{
+		t:     t,
+		bound: bound,
+		sim: &sim{
+			now:     epoch,
+			rand:    r,
+			delay:   500 * time.Microsecond,
+			slots:   3,
+			queues:  rapid.Bool().Draw(t, "queues"),
+			blind:   rapid.Bool().Draw(t, "blind"),
+			coldFor: 500 * time.Millisecond,
+		},
+	}
+	f.service = func() time.Duration {
+		t := time.Duration(r.ExpFloat64() * float64(5*time.Millisecond))
+		if r.IntN(100) == 0 {
+			t += 200 * time.Millisecond
+		}
+		return t
+	}
+	f.restart(1000)
+	for _, share := range []int{max(bound-1, 1), min(bound-1, 1), 0} {
+		c := anvilleaf.Config{
+			Leaf:         "a",
+			Slots:        3,
+			Share:        anvilleaf.Share{Connections: 6, Cold: share},
+			ColdDuration: f.coldFor,
+			QuietPeriod:  longest,
+		}
+		f.configs = append(f.configs, c)
+		f.current = append(f.current, f.add(c))
+	}
+	return f
+}
+
+// step does one random thing to the fleet.
+func (f *fleet) step() {
+	i := rapid.IntRange(0, len(f.current)-1).Draw(f.t, "node")
+	n := f.current[i]
+	switch rapid.IntRange(0, 99).Draw(f.t, "step") {
+	case 0:
+		f.restart(anvilmodel.Incarnation(1001 + len(f.past)))
+	case 1:
+		// A leaf whose clock went back numbers its next process lower.
+		f.restart(anvilmodel.Incarnation(999 - len(f.past)))
+	case 2:
+		for _, w := range n.connections {
+			w.silent = w.silent || f.rand.IntN(2) == 0
+		}
+	case 3:
+		n.pausedUntil = f.now.Add(time.Duration(f.rand.IntN(3)) * time.Second)
+	case 4:
+		// The process is replaced, and either gone or only paused.
+		n.dead = f.rand.IntN(2) == 0
+		n.replaced = true
+		n.pausedUntil = f.now.Add(1500 * time.Millisecond)
+		f.current[i] = f.add(f.configs[i])
+	case 5, 15, 16:
+		n.isolated = f.rand.IntN(3) == 0
+	case 6, 13, 14:
+		n.when(func() { n.do(n.d.SetOut(f.rand.IntN(3) == 0, f.now, nil)) })
+	case 7:
+		n.when(func() { n.do(n.d.SetShare(f.configs[i].Share, f.now, nil)) })
+	case 8:
+		n.when(func() {
+			n.do(n.d.ObserveState(anvilmodel.LeafState{
+				Incarnation: f.leaf.incarnation,
+				Cold:        f.rand.IntN(4) == 0,
+				Draining:    f.rand.IntN(16) == 0,
+				Age:         time.Duration(f.rand.IntN(3000)) * time.Millisecond,
+			}, f.now, nil))
+		})
+	case 9, 10:
+		other := f.current[f.rand.IntN(len(f.current))]
+		if s, ok := other.d.LeafState(f.now); ok {
+			n.when(func() { n.do(n.d.AdoptJudgement(s, f.now, nil)) })
+		}
+	case 11, 12:
+		if len(f.ids) > 0 {
+			k := len(f.ids) - 1 - f.rand.IntN(min(len(f.ids), 5))
+			o := f.owners[k]
+			o.when(func() { o.do(o.d.Cancel(f.ids[k], f.now, nil)) })
+		}
+	default:
+		n.when(func() { f.burst(n, 12) })
+	}
+	for range rapid.IntRange(0, 200).Draw(f.t, "milliseconds") / 10 {
+		f.current[0].when(func() { f.burst(f.current[0], 3) })
+		f.runFor(10 * time.Millisecond)
+	}
+}
+
+// burst hands over calls, as several queries would.
+func (f *fleet) burst(n *node, most int) {
+	for range f.rand.IntN(most) {
+		id := n.submit(anvilmodel.Call{
+			Leaf:     "a",
+			Timeout:  time.Duration(f.rand.Int64N(int64(longest))),
+			Priority: f.rand.IntN(3),
+			Hedge:    f.rand.IntN(4) == 0,
+		})
+		f.ids = append(f.ids, id)
+		f.owners = append(f.owners, n)
+	}
+}
+
+// TestFleetProperties guards, over random sequences of calls, restarts,
+// silent connections, pauses, replacements, isolation and adopted judgements,
+// against: more calls at a cold leaf than it takes; more connections than the
+// share; a call with no reply or with two; a call that ran, or runs later,
+// after its origin was told not-run; a call that runs twice.
+func TestFleetProperties(t *testing.T) {
+	ran, atBound := 0, 0
+	var sum anvilleaf.Counters
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			f.step()
+		}
+		for _, n := range f.nodes {
+			n.pausedUntil = f.now
+		}
+		f.runFor(3 * time.Second)
+		if f.coldMost > f.bound {
+			t.Fatalf("%d calls at a cold leaf that takes %d", f.coldMost, f.bound)
+		}
+		if f.coldMost == f.bound {
+			atBound++
+		}
+		times := map[anvilmodel.CallID]int{}
+		for _, p := range append(f.past, f.leaf) {
+			for id, count := range p.ran {
+				times[id] += count
+			}
+		}
+		ran += len(times)
+		for _, n := range f.nodes {
+			c := n.d.Status(f.now).Counters
+			sum.Started += c.Started
+			sum.Displaced += c.Displaced
+			sum.Cancelled += c.Cancelled
+			sum.TimedOut += c.TimedOut
+			sum.Silent += c.Silent
+			sum.Pauses += c.Pauses
+			if n.most > 5 {
+				t.Fatalf("%d call connections in a share of %d", n.most, 5)
+			}
+		}
+		for i, id := range f.ids {
+			o := f.owners[i]
+			replies := o.replies[id]
+			if len(replies) > 1 || (len(replies) == 0 && !o.dead) {
+				t.Fatalf("call %v has %d replies", id, len(replies))
+			}
+			if times[id] > 1 {
+				t.Fatalf("call %v ran %d times", id, times[id])
+			}
+			if len(replies) == 1 && replies[0].Ran == anvilmodel.RunStateNotRun && times[id] > 0 {
+				t.Fatalf("call %v ran and was reported not-run: %+v", id, replies[0])
+			}
+		}
+	})
+	t.Logf("%d calls ran, %d fleets reached the cold bound, counters %+v", ran, atBound, sum)
+}
--- a/anvilleaf/sim_test.go
+++ b/anvilleaf/sim_test.go
@@ -20,12 +20,15 @@
 	count  int
 	nodes  []*node
 	leaf   *process
+	past   []*process
 	// delay is the one-way network delay, service draws a service time.
 	delay   time.Duration
 	service func() time.Duration
 	slots   int
 	// queues tells whether the leaf queues calls over its slots, or sheds them.
-	queues   bool
+	queues bool
+	// blind edges read no state when they open a connection.
+	blind    bool
 	coldFor  time.Duration
 	coldMost int
 }
@@ -97,6 +100,7 @@
 		return
 	}
 	old.dead = true
+	s.past = append(s.past, old)
 	for _, n := range s.nodes {
 		for number, c := range n.connections {
 			if c.process == old && !c.silent {
@@ -156,6 +160,11 @@
 	sim         *sim
 	d           *anvilleaf.Dispatcher
 	dead        bool
+	pausedUntil time.Time
+	// replaced is set once another process has its slot; nothing then tells it
+	// that it is in contact.
+	replaced    bool
+	isolated    bool
 	connections map[int]*wire
 	most        int
 	calls       int
@@ -171,6 +180,8 @@
 	silent  bool
 	closed  bool
 	call    *anvilmodel.CallID
+	// unwritten says that the connection ended before the call was written.
+	unwritten bool
 }
 
 func (s *sim) add(c anvilleaf.Config) *node {
@@ -186,11 +197,24 @@
 	return n
 }
 
-func (n *node) tick() {
-	if n.dead {
+// when runs an event of the node's process, after its pause if it is in one.
+func (n *node) when(run func()) {
+	if wait := n.pausedUntil.Sub(n.sim.now); wait > 0 {
+		n.sim.after(wait, func() { n.when(run) })
 		return
 	}
+	if !n.dead {
+		run()
+	}
+}
+
+func (n *node) tick() { n.when(n.tickNow) }
+
+func (n *node) tickNow() {
 	n.do(n.d.Tick(n.sim.now, nil))
+	if !n.replaced {
+		n.do(n.d.SetIsolated(n.isolated, n.sim.now, nil))
+	}
 	next := n.d.Next().Sub(n.sim.now)
 	n.sim.after(min(max(next, 100*time.Microsecond), 5*time.Millisecond), n.tick)
 }
@@ -238,11 +262,17 @@
 	n.most = max(n.most, len(n.connections))
 	s := n.sim
 	s.after(4*s.delay, func() {
-		if n.dead || w.closed {
-			return
-		}
 		w.process = s.leaf
-		n.do(n.d.Opened(number, s.leaf.incarnation, s.now, nil))
+		n.when(func() {
+			if w.closed {
+				return
+			}
+			i := w.process.incarnation
+			if s.blind {
+				i = 0
+			}
+			n.do(n.d.Opened(number, i, s.now, nil))
+		})
 	})
 }
 
@@ -253,20 +283,19 @@
 	}
 	w.closed = true
 	n.sim.after(n.sim.delay, func() {
-		if n.dead {
-			return
-		}
-		delete(n.connections, number)
-		if w.call != nil {
-			n.report(number, w, anvilmodel.CallReply{ID: *w.call, Result: anvilmodel.CallBroken})
-		}
-		n.do(n.d.Closed(number, n.sim.now, nil))
+		n.when(func() {
+			delete(n.connections, number)
+			if w.call != nil {
+				n.report(number, w, anvilmodel.CallReply{ID: *w.call, Result: anvilmodel.CallBroken})
+			}
+			n.do(n.d.Closed(number, n.sim.now, nil))
+		})
 	})
 }
 
 func (n *node) report(number int, w *wire, r anvilmodel.CallReply) {
 	w.call = nil
-	n.do(n.d.Done(anvilleaf.Outcome{Reply: r, Connection: number, Written: true}, n.sim.now, nil))
+	n.do(n.d.Done(anvilleaf.Outcome{Reply: r, Connection: number, Written: !w.unwritten}, n.sim.now, nil))
 }
 
 func (n *node) start(a anvilleaf.Action) {
@@ -275,17 +304,23 @@
 	if w.silent {
 		return
 	}
+	if w.closed {
+		w.unwritten = true
+		return
+	}
 	p := w.process
 	answer := func(r anvilmodel.CallResult, ran anvilmodel.RunState) {
 		s.after(s.delay, func() {
-			if n.dead || w.closed || w.silent || p.dead || w.call == nil {
-				return
-			}
-			n.report(a.Connection, w, anvilmodel.CallReply{
-				ID:          a.ID,
-				Result:      r,
-				Ran:         ran,
-				Incarnation: p.incarnation,
+			n.when(func() {
+				if w.closed || w.silent || p.dead || w.call == nil {
+					return
+				}
+				n.report(a.Connection, w, anvilmodel.CallReply{
+					ID:          a.ID,
+					Result:      r,
+					Ran:         ran,
+					Incarnation: p.incarnation,
+				})
 			})
 		})
 	}
--- a/anvilleaf/submit.go
+++ b/anvilleaf/submit.go
@@ -87,7 +87,7 @@
 // inTime reports whether a call with the given number of calls ahead of it is
 // expected to start early enough.
 func (d *Dispatcher) inTime(e *entry, ahead int) bool {
-	return d.wait(ahead)+d.latency.fastest() <= e.deadline.Sub(d.now)
+	return d.wait(ahead)+d.latency.fastest() < e.deadline.Sub(d.now)
 }
 
 // wait estimates how long a call waits that has the given number ahead of it.
