--- /dev/null
+++ b/anvilticket/register_test.go
@@ -0,0 +1,229 @@
+package anvilticket_test
+
+import (
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilticket"
+)
+
+// TestMain fixes the seed of the properties, so that every run is the same.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	m.Run()
+}
+
+var start = time.Date(2024, 3, 1, 6, 0, 0, 0, time.UTC)
+
+func ticket(i anvilmodel.Incarnation, epoch uint32, id string) anvilmodel.Ticket {
+	return anvilmodel.Ticket{
+		Incarnation: i,
+		Epoch:       epoch,
+		ID:          id,
+	}
+}
+
+func newRegister(capacity int) *anvilticket.Register {
+	return anvilticket.New(anvilticket.Config{
+		Incarnation:  7,
+		Started:      start,
+		Capacity:     capacity,
+		VoidCapacity: capacity,
+		OutcomeBytes: 10,
+		TotalBytes:   16,
+	})
+}
+
+func ExampleRegister() {
+	r := newRegister(8)
+	t := ticket(7, 0, "b5c1")
+	fmt.Println(r.Begin(t, 1, start).Verdict)
+	fmt.Println(r.Begin(t, 1, start).Verdict)
+	r.Finish(t, anvilticket.Outcome{
+		Ran:    anvilmodel.RunStateRun,
+		Answer: []byte("graded"),
+	}, start)
+	d := r.Begin(t, 1, start)
+	fmt.Println(d.Verdict, string(d.Outcome.Answer))
+	// Output:
+	// run
+	// running
+	// recorded graded
+}
+
+// TestBegin guards against tickets that are run although they must not be, and
+// against a run state that is not certain.
+func TestBegin(t *testing.T) {
+	r := newRegister(8)
+	now := start.Add(5 * 30 * time.Second)
+	check := func(name string, k anvilmodel.Ticket, digest uint64, want string) {
+		d := r.Begin(k, digest, now)
+		got := d.Verdict.String()
+		if d.Verdict == anvilticket.VerdictRefused {
+			got = string(d.Reason) + " " + d.Ran.String()
+		}
+		if got != want {
+			t.Errorf("%s: %s, want %s", name, got, want)
+		}
+	}
+	check("another incarnation", ticket(6, 5, "a"), 1, "elsewhere")
+	check("no id", ticket(7, 5, ""), 1, "bad-ticket not-run")
+	check("long id", ticket(7, 5, strings.Repeat("x", 65)), 1, "bad-ticket not-run")
+	check("old epoch", ticket(7, 2, "a"), 1, "bad-ticket unknown")
+	check("future epoch", ticket(7, 7, "a"), 1, "bad-ticket unknown")
+	check("first", ticket(7, 3, "a"), 1, "run")
+	check("another body", ticket(7, 3, "a"), 2, "bad-ticket not-run")
+	check("again", ticket(7, 3, "a"), 1, "running")
+	check("next epoch", ticket(7, 6, "a"), 1, "run")
+	r.Finish(ticket(7, 6, "a"), anvilticket.Outcome{Ran: anvilmodel.RunStateNotRun}, now)
+	check("after a certain not-run", ticket(7, 6, "a"), 1, "ticket-used not-run")
+	now = now.Add(-time.Hour)
+	check("clock that ran backwards", ticket(7, 3, "a"), 1, "running")
+	now = now.Add(2 * time.Hour)
+	check("after a pause", ticket(7, 3, "a"), 1, "bad-ticket unknown")
+	check("after a pause, current epoch", ticket(7, r.Epoch(now), "a"), 1, "run")
+}
+
+// TestBounds guards against a register that grows without bound, and against a
+// ticket that runs after it was refused for want of room.
+func TestBounds(t *testing.T) {
+	r := newRegister(4)
+	var got []string
+	for i := range 12 {
+		k := ticket(7, 0, strconv.Itoa(i))
+		got = append(got, r.Begin(k, 1, start).Verdict.String())
+		r.Finish(k, anvilticket.Outcome{
+			Ran:    anvilmodel.RunStateRun,
+			Answer: []byte(strings.Repeat("x", 5*(i+1))),
+		}, start)
+	}
+	want := append(slice("run", 4), slice("refused", 8)...)
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+	if used, void, bytes := r.Len(); used != 4 || void != 4 || bytes != 15 {
+		t.Errorf("keeps %d used, %d void, %d bytes", used, void, bytes)
+	}
+	if s, o := r.Lookup(ticket(7, 0, "3"), start); s != anvilticket.TicketFinished || o.Answer != nil || o.Size != 20 {
+		t.Errorf("large answer: %v %+v", s, o)
+	}
+	now := start.Add(30 * time.Second)
+	if d := r.Begin(ticket(7, 0, "new"), 1, now); d.Ran != anvilmodel.RunStateNotRun {
+		t.Errorf("new ticket of the closed epoch: %+v", d)
+	}
+	now = start.Add(3 * 30 * time.Second)
+	if d := r.Begin(ticket(7, 3, "11"), 1, now); d.Verdict != anvilticket.VerdictRun {
+		t.Errorf("ticket after the full epoch: %+v", d)
+	}
+	if used, void, bytes := r.Len(); used != 1 || void != 0 || bytes != 0 {
+		t.Errorf("keeps %d used, %d void, %d bytes after expiry", used, void, bytes)
+	}
+}
+
+func slice(s string, n int) []string {
+	return strings.Split(strings.TrimSuffix(strings.Repeat(s+",", n), ","), ",")
+}
+
+// TestAtMostOnce guards, over random orders of calls, lookups, restarts and
+// pauses at two nodes with small registers, against a ticket that runs twice,
+// and against one that ran, or runs later, after a node said not-run (R6, R7).
+func TestAtMostOnce(t *testing.T) {
+	total := 0
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		incarnation := anvilmodel.Incarnation(0)
+		nodes, own := make([]*anvilticket.Register, 2), make([]anvilmodel.Incarnation, 2)
+		restart := func(n int) {
+			incarnation++
+			own[n] = incarnation
+			nodes[n] = anvilticket.New(anvilticket.Config{
+				Incarnation:  incarnation,
+				Started:      now,
+				Capacity:     rapid.IntRange(1, 6).Draw(t, "capacity"),
+				VoidCapacity: rapid.IntRange(1, 6).Draw(t, "void capacity"),
+			})
+		}
+		restart(0)
+		restart(1)
+		runs, denied := map[anvilmodel.Ticket]int{}, map[anvilmodel.Ticket]bool{}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			r := nodes[rapid.IntRange(0, 1).Draw(t, "node")]
+			k := ticket(
+				own[rapid.IntRange(0, 1).Draw(t, "of")]-anvilmodel.Incarnation(rapid.IntRange(0, 9).Draw(t, "back")/9),
+				max(r.Epoch(now), 3)-3+uint32(rapid.IntRange(0, 5).Draw(t, "epoch")),
+				strconv.Itoa(rapid.IntRange(0, 2).Draw(t, "id")))
+			switch rapid.IntRange(0, 24).Draw(t, "step") {
+			case 0:
+				restart(rapid.IntRange(0, 1).Draw(t, "restart"))
+			case 1:
+				now = now.Add(time.Duration(rapid.IntRange(0, 70).Draw(t, "seconds")) * time.Second)
+			case 2, 3:
+				o := anvilticket.Outcome{Ran: anvilmodel.RunState(rapid.IntRange(0, 2).Draw(t, "ran"))}
+				if r.Finish(k, o, now) && o.Ran == anvilmodel.RunStateNotRun {
+					denied[k] = true
+					runs[k]--
+				}
+			case 4:
+				if r.Void(k, now) {
+					denied[k] = true
+				}
+			case 5, 6:
+				if s, _ := r.Lookup(k, now); s == anvilticket.TicketVoid {
+					denied[k] = true
+				}
+			default:
+				d := r.Begin(k, 1, now)
+				if d.Verdict == anvilticket.VerdictRun {
+					runs[k]++
+					total++
+					if denied[k] {
+						t.Fatalf("%v runs after not-run was said", k)
+					}
+				}
+				if d.Ran == anvilmodel.RunStateNotRun {
+					denied[k] = true
+				}
+			}
+			if runs[k] > 1 || (denied[k] && runs[k] > 0) {
+				t.Fatalf("%v ran %d times, not-run said: %t", k, runs[k], denied[k])
+			}
+		}
+	})
+	t.Logf("%d runs", total)
+}
+
+// BenchmarkBegin measures Begin and Finish of new tickets with small answers
+// at a full rate of expiry.
+func BenchmarkBegin(b *testing.B) {
+	r := anvilticket.New(anvilticket.Config{
+		Incarnation: 7,
+		Started:     start,
+	})
+	now := start
+	o := anvilticket.Outcome{
+		Ran:    anvilmodel.RunStateRun,
+		Answer: make([]byte, 200),
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(5 * time.Millisecond)
+		k := ticket(7, r.Epoch(now), strconv.FormatUint(uint64(i)<<32, 16))
+		r.Begin(k, 1, now)
+		r.Finish(k, o, now)
+	}
+	used, _, bytes := r.Len()
+	b.ReportMetric(float64(used), "kept")
+	b.ReportMetric(float64(bytes), "answer-bytes")
+}
