--- /dev/null
+++ b/anvilconfig/docs_test.go
@@ -0,0 +1,50 @@
+package anvilconfig_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestDocumentation guards against fields and defaults that
+// docs/configuration.md does not state, or states differently.
+func TestDocumentation(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "docs", "configuration.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rendered, err := mustLoad(t, edited(t)).Render("north")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// These defaults follow from other fields.
+	derived := map[string]bool{
+		"priority":          true,
+		"services":          true,
+		"cold-quiet-period": true,
+	}
+	for line := range strings.Lines(string(rendered)) {
+		field, origin, isField := strings.Cut(strings.TrimSpace(line), " # ")
+		key, value, _ := strings.Cut(field, ": ")
+		if !isField || strings.HasPrefix(value, "{") {
+			continue
+		}
+		row := documentedRow(string(page), key)
+		if row == "" {
+			t.Errorf("field %s is not documented", key)
+		}
+		if origin == "default" && !derived[key] && !strings.Contains(row, "| "+value+" |") {
+			t.Errorf("default %s of %s is not documented: %s", value, key, row)
+		}
+	}
+}
+
+func documentedRow(page, key string) string {
+	for line := range strings.Lines(page) {
+		if strings.HasPrefix(line, "| `"+key+"` |") {
+			return line
+		}
+	}
+	return ""
+}
--- a/anvilconfig/load_test.go
+++ b/anvilconfig/load_test.go
@@ -139,3 +139,21 @@
 }
 
 const acceptedName = "name of lower-case letters, digits and hyphens that begins with a letter, at most 63 characters"
+
+// TestLoadPublished guards against an overlay that is taken for the base file.
+func TestLoadPublished(t *testing.T) {
+	overlay := document("a.yaml", "site: south\nentry-slots: {entry-1: {failure-domain: fd-2}}\n")
+	release, findings := anvilconfig.LoadPublished([]anvilconfig.Document{overlay, edited(t)})
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	slot, _ := release.Site("north").Slot("entry-1")
+	if slot.FailureDomain != "fd-2" || release.Site("east") != nil {
+		t.Errorf("slot %v, sites %v", slot, release.Sites())
+	}
+	_, findings = anvilconfig.LoadPublished([]anvilconfig.Document{overlay})
+	want := "base.yaml:1:1: the base file is not among the documents (accepted: a document named base.yaml)"
+	if findings.Error() != want {
+		t.Errorf("findings %q, want %q", findings.Error(), want)
+	}
+}
