Join configuration commands and the thin whole path

Cause: the parts existed, but no run went from a caller to the leafs. Change: check, render and diff join the command line; a provisional assignment and address choice stand in until the real ones land.

--- a/anviladdress/answer.go
+++ b/anviladdress/answer.go
@@ -50,5 +50,26 @@
 	Lifetime time.Duration
 }
 
-// Choose returns an answer.
-func Choose(i Input) Answer { return Answer{} }
+func Choose(i Input) Answer {
+	a := Answer{Lifetime: i.Lifetime}
+	for _, m := range i.Members {
+		if m.Name == i.Self.Name {
+			m = i.Self
+		}
+		if m.Status != anvilmodel.MemberAlive || !m.Serving {
+			continue
+		}
+		out := false
+		for _, d := range i.OutDomains {
+			if d == m.FailureDomain {
+				out = true
+			}
+		}
+		if out {
+			continue
+		}
+		a.Addresses = append(a.Addresses, Address{Name: m.Name, CallerAddress: m.CallerAddress, Incarnation: m.Incarnation, TicketEpoch: m.TicketEpoch, FailureDomain: m.FailureDomain})
+	}
+	i.Random.Shuffle(len(a.Addresses), func(x, y int) { a.Addresses[x], a.Addresses[y] = a.Addresses[y], a.Addresses[x] })
+	return a
+}
--- a/anvilassign/table.go
+++ b/anvilassign/table.go
@@ -2,7 +2,12 @@
 // what share of its limits. It is a pure function of the configuration.
 package anvilassign
 
-import "anvilbridge/anvilmodel"
+import (
+	"anvilbridge/anvilmodel"
+	"cmp"
+	"github.com/cespare/xxhash/v2"
+	"slices"
+)
 
 // DefaultGroupSize is the largest number of leafs in a group.
 const DefaultGroupSize = 8
@@ -49,17 +54,47 @@
 	Candidate Candidate
 }
 
-// Table is the assignment of all leafs. It does not change and is safe for
-// concurrent use.
-type Table struct{}
-
-// New computes the assignment.
-func New(c Config) *Table { return &Table{} }
-
-// Candidates returns the candidates of a leaf in rank order, none for an unknown
-// leaf. The caller must not change the slice.
-func (t *Table) Candidates(leaf anvilmodel.LeafName) []Candidate { return nil }
+type Table struct {
+	c map[anvilmodel.LeafName][]Candidate
+	s map[anvilmodel.SlotName][]Assignment
+}
 
-// LeafsOf returns the leafs for which the slot is a candidate, in name order. The
-// caller must not change the slice.
-func (t *Table) LeafsOf(slot anvilmodel.SlotName) []Assignment { return nil }
+func New(c Config) *Table {
+	t := &Table{c: map[anvilmodel.LeafName][]Candidate{}, s: map[anvilmodel.SlotName][]Assignment{}}
+	for _, l := range c.Leafs {
+		type rk struct {
+			s    Slot
+			h    uint64
+			same bool
+		}
+		rs := []rk{}
+		for _, s := range c.Slots {
+			rs = append(rs, rk{s, xxhash.Sum64String(string(s.Name) + "/" + string(l.Name)), s.FailureDomain == l.FailureDomain})
+		}
+		slices.SortFunc(rs, func(a, b rk) int {
+			if a.same != b.same {
+				if a.same {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(a.h, b.h)
+		})
+		for i, r := range rs[:min(3, len(rs))] {
+			lim := c.Limits[l.Service]
+			cold := 0
+			if i == 0 {
+				cold = max(1, lim.ColdConcurrency-1)
+			}
+			if i == 1 && lim.ColdConcurrency >= 2 {
+				cold = 1
+			}
+			k := Candidate{Slot: r.s.Name, Rank: i, Connections: lim.Connections / 3, ColdConcurrency: cold}
+			t.c[l.Name] = append(t.c[l.Name], k)
+			t.s[k.Slot] = append(t.s[k.Slot], Assignment{Leaf: l.Name, Candidate: k})
+		}
+	}
+	return t
+}
+func (t *Table) Candidates(leaf anvilmodel.LeafName) []Candidate { return t.c[leaf] }
+func (t *Table) LeafsOf(slot anvilmodel.SlotName) []Assignment   { return t.s[slot] }
--- a/anvilcommand/command.go
+++ b/anvilcommand/command.go
@@ -13,6 +13,9 @@
 // variable ANVILBRIDGE_ and its name in upper case with underscores.
 type commands struct {
 	Node    nodeCommand    `cmd:"" help:"Run the node of an entry VM."`
+	Check   Check          `cmd:"" help:"Check a base file and its overlays."`
+	Render  Render         `cmd:"" help:"Print the effective configuration of a site and the origin of each value."`
+	Diff    Diff           `cmd:"" help:"Print the fields that differ between two sets of documents."`
 	Query   queryCommand   `cmd:"" help:"Send one query, as a caller would."`
 	Status  statusCommand  `cmd:"" help:"Show the state of a node."`
 	StandIn standInCommand `cmd:"" name:"stand-in" help:"Run small fakes of the platform and the upstreams in the foreground."`
@@ -37,6 +40,7 @@
 		kong.Name("anvilbridge"),
 		kong.Description("A query tier for requests that fan out over many shards."),
 		kong.Writers(stdout, stderr),
+		kong.BindTo(stdout, (*io.Writer)(nil)),
 		kong.DefaultEnvars("ANVILBRIDGE"),
 		kong.ConfigureHelp(kong.HelpOptions{
 			Compact: true,
--- a/anvilconfig/load_test.go
+++ b/anvilconfig/load_test.go
@@ -55,6 +55,13 @@
 			overlays: map[string]string{"n.yaml": "site: north\npolicy: {cold-quiet-period: 499ms}\n"},
 			want:     `n.yaml:2:29: policy.cold-quiet-period: cold-quiet-period 499ms is shorter than the longest class timeout 500ms of all sites at site north (accepted: 500ms or more)`,
 		},
+		"quiet period shorter than a class timeout of another site": {
+			overlays: map[string]string{
+				"n.yaml": "site: north\npolicy: {cold-quiet-period: 1s}\n",
+				"s.yaml": "site: south\nclasses: {buyers: {timeout: 2s}}\n",
+			},
+			want: `n.yaml:2:29: policy.cold-quiet-period: cold-quiet-period 1s is shorter than the longest class timeout 2s of all sites at site north (accepted: 2s or more)`,
+		},
 		"failure domains not declared and not in use": {
 			replace: []string{"7000, failure-domain: fd-2", "7000, failure-domain: fd-3"},
 			want: `base.yaml:4:3: failure-domains.fd-2: no leaf and no entry slot is in this failure domain (accepted: failure domains in use)
@@ -139,3 +146,21 @@
 }
 
 const acceptedName = "name of lower-case letters, digits and hyphens that begins with a letter, at most 63 characters"
+
+// TestLoadPublished guards against an overlay that is taken for the base file.
+func TestLoadPublished(t *testing.T) {
+	overlay := document("a.yaml", "site: south\nentry-slots: {entry-1: {failure-domain: fd-2}}\n")
+	release, findings := anvilconfig.LoadPublished([]anvilconfig.Document{overlay, edited(t)})
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	slot, _ := release.Site("north").Slot("entry-1")
+	if slot.FailureDomain != "fd-2" || release.Site("east") != nil {
+		t.Errorf("slot %v, sites %v", slot, release.Sites())
+	}
+	_, findings = anvilconfig.LoadPublished([]anvilconfig.Document{overlay})
+	want := "base.yaml:1:1: the base file is not among the documents (accepted: a document named base.yaml)"
+	if findings.Error() != want {
+		t.Errorf("findings %q, want %q", findings.Error(), want)
+	}
+}
--- a/anvildemo/fleet.go
+++ b/anvildemo/fleet.go
@@ -18,11 +18,8 @@
 	"anvilbridge/anvilstandin"
 )
 
-// baseDocument and overlayDocument are the names at the configuration service.
-const (
-	baseDocument    = "base"
-	overlayDocument = "overlay-" + site
-)
+// overlayDocument is the name of the overlay at the configuration service.
+const overlayDocument = "overlay-" + site + ".yaml"
 
 var failureDomains = []anvilmodel.FailureDomain{"fd-1", "fd-2", "fd-3"}
 
--- a/anvildemo/standin.go
+++ b/anvildemo/standin.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cluster.Config().SetDocument(baseDocument, []byte(baseFile(services(), cluster.Leafs(), failureDomains, slots)))
+	cluster.Config().SetDocument(anvilconfig.BaseName, []byte(baseFile(services(), cluster.Leafs(), failureDomains, slots)))
 	cluster.Config().SetDocument(overlayDocument, []byte(overlayText("")))
 	return cluster, nil
 }
@@ -105,7 +105,7 @@
 func (s *StandIns) Documents() []anvilconfig.Document {
 	return []anvilconfig.Document{
 		{
-			Name:    baseDocument,
+			Name:    anvilconfig.BaseName,
 			Content: []byte(baseFile(services(), s.cluster.Leafs(), failureDomains, s.slots)),
 		},
 		{
--- a/anvilnode/revisions.go
+++ b/anvilnode/revisions.go
@@ -22,24 +22,9 @@
 	revisionTick = 250 * time.Millisecond
 )
 
-// baseDocument is the name of the base file at the configuration service; all
-// other documents are overlays.
-const baseDocument = "base"
-
 // judge validates the documents of a revision.
 func judge(documents []anvilconfig.Document) anvilrevision.Judgement {
-	base := anvilconfig.Document{
-		Name: baseDocument,
-	}
-	overlays := []anvilconfig.Document{}
-	for _, d := range documents {
-		if d.Name == baseDocument {
-			base = d
-			continue
-		}
-		overlays = append(overlays, d)
-	}
-	release, findings := anvilconfig.Load(base, overlays)
+	release, findings := anvilconfig.LoadPublished(documents)
 	return anvilrevision.Judgement{
 		Release:  release,
 		Findings: findings,
