Open leaf connections explicitly and never redial unnoticed

Cause: net/http connects again by itself when an idle connection has died. Ruled out: slow detection of the new incarnation, the first reply already names it. Change: a numbered connection connects once; Open reads the leaf's incarnation over it before a call is sent; calls on a lost connection fail unsent until it is closed; the outcome of a call says when the connection was lost. Conclusion: the cold bound holds across an unannounced restart. Three tests of anvilupstream expected the silent redial and now expect an unsent call first.

--- a/anvilleaf/action.go
+++ b/anvilleaf/action.go
@@ -60,6 +60,9 @@
 	Reply anvilmodel.CallReply
 	// Connection is the connection that carried the call.
 	Connection int
+	// Lost says that the connection did not survive the call. The dispatcher asks
+	// for its closure and does not use it again.
+	Lost bool
 	// Written is false only if it is certain that no byte of the call was
 	// written to the connection.
 	Written bool
--- a/anvilleaf/connection.go
+++ b/anvilleaf/connection.go
@@ -250,7 +250,7 @@
 	if !answered && o.Reply.Result == anvilmodel.CallTimeout {
 		d.suspect(c)
 	}
-	if o.Reply.Result == anvilmodel.CallBroken || d.surplus(c) {
+	if o.Lost || o.Reply.Result == anvilmodel.CallBroken || d.surplus(c) {
 		d.close(e.connection)
 	}
 	d.checkSuspects()
--- a/anvilnode/leafrunner.go
+++ b/anvilnode/leafrunner.go
@@ -192,14 +192,21 @@
 		return d.Done(anvilleaf.Outcome{
 			Reply:      outcome.Reply,
 			Connection: a.Connection,
+			Lost:       outcome.Lost,
 			Written:    outcome.BytesWritten,
 		}, now, actions)
 	})
 }
 
+// open connects a connection and reads the leaf's incarnation over it, so that
+// no call meets a process that restarted unnoticed.
 func (r *leafRunner) open(connection int) {
+	state, err := r.node.upstream.Open(r.stopped, r.leaf.Address, connection)
 	r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
-		return d.Opened(connection, 0, now, actions)
+		if err != nil {
+			return d.Closed(connection, now, actions)
+		}
+		return d.Opened(connection, state.Incarnation, now, actions)
 	})
 }
 
--- a/anvilupstream/call.go
+++ b/anvilupstream/call.go
@@ -25,6 +25,9 @@
 	// BytesWritten is false only if it is certain that no byte of the call was
 	// and will be written.
 	BytesWritten bool
+	// Lost says that the connection no longer exists. Calls on its number fail
+	// unsent until Close.
+	Lost bool
 	// Opened says whether the call opened the connection.
 	Opened bool
 	// Elapsed is the time from the call of Call to its return.
@@ -238,6 +241,7 @@
 			Ran:    ran,
 		},
 		BytesWritten: written,
+		Lost:         true,
 		Err:          err,
 	}
 }
--- a/anvilupstream/call_test.go
+++ b/anvilupstream/call_test.go
@@ -232,7 +232,9 @@
 	wantOK(t, client.Call(t.Context(), u.Address(), 2, newCall(4, longEnough)), true)
 	client.Close(u.Address(), 1)
 	wantOK(t, client.Call(t.Context(), u.Address(), 1, newCall(5, longEnough)), true)
-	wantOK(t, client.Call(t.Context(), u.Address(), 0, newCall(6, longEnough)), true)
+	wantUnsent(t, client.Call(t.Context(), u.Address(), 0, newCall(6, longEnough)))
+	client.Close(u.Address(), 0)
+	wantOK(t, client.Call(t.Context(), u.Address(), 0, newCall(7, longEnough)), true)
 }
 
 // TestDamagedRepliesBreakTheConnection guards against a crossed, truncated or
@@ -256,10 +258,40 @@
 		if out.Reply.Result != anvilmodel.CallBroken || out.Reply.Ran != anvilmodel.RunStateUnknown || !errorx.IsOfType(out.Err, want) {
 			t.Errorf("fault %d: got %s, %s, %v", fault, out.Reply.Result, out.Reply.Ran, out.Err)
 		}
+		wantUnsent(t, client.Call(t.Context(), u.Address(), 0, newCall(1000+attempt, longEnough)))
+		client.Close(u.Address(), 0)
 		wantOK(t, client.Call(t.Context(), u.Address(), 0, newCall(attempt+1, longEnough)), true)
 	}
 }
 
+// wantUnsent checks that a call on a lost connection was not sent: connecting
+// again by itself could meet a process that has just started.
+func wantUnsent(t *testing.T, out anvilupstream.Outcome) {
+	t.Helper()
+	if out.Reply.Result != anvilmodel.CallBroken || out.Reply.Ran != anvilmodel.RunStateNotRun || out.BytesWritten {
+		t.Errorf("call on a lost connection: got %s, %s, written %t", out.Reply.Result, out.Reply.Ran, out.BytesWritten)
+	}
+}
+
+// TestOpenReadsTheIncarnation guards against calls to a process that restarted
+// between the opening of a connection and its first call.
+func TestOpenReadsTheIncarnation(t *testing.T) {
+	u := startLeaf(t, nil)
+	client := startClient(t, anvilupstream.Config{})
+	state, err := client.Open(t.Context(), u.Address(), 0)
+	if err != nil || state.Incarnation == 0 {
+		t.Fatalf("open: got incarnation %d, %v", state.Incarnation, err)
+	}
+	wantOK(t, client.Call(t.Context(), u.Address(), 0, newCall(1, longEnough)), false)
+	u.TurnCold()
+	wantUnsent(t, client.Call(t.Context(), u.Address(), 0, newCall(2, longEnough)))
+	client.Close(u.Address(), 0)
+	again, err := client.Open(t.Context(), u.Address(), 0)
+	if err != nil || again.Incarnation == state.Incarnation {
+		t.Errorf("open after a restart: got incarnation %d, %v", again.Incarnation, err)
+	}
+}
+
 // TestContextEndsCall guards against a call that outlives its origin, and
 // against a state or cancel request without a bound.
 func TestContextEndsCall(t *testing.T) {
--- a/anvilupstream/connection.go
+++ b/anvilupstream/connection.go
@@ -15,6 +15,9 @@
 
 const maxHeaderBytes = 16 << 10
 
+// errDead is returned by calls on a numbered connection that has died.
+var errDead = errors.New("the connection has died and was not closed yet")
+
 // errSealed is returned by writes on a connection that was closed for good.
 var errSealed = errors.New("the connection is closed")
 
@@ -39,7 +42,7 @@
 			Path:   anvilwire.PathLeafCall,
 		},
 		client:      c,
-		control:     newConnection(c, c.config.ControlConnections),
+		control:     newConnection(c, c.config.ControlConnections, false),
 		connections: make(map[int]*connection),
 	}
 }
@@ -53,7 +56,7 @@
 	}
 	n := l.connections[number]
 	if n == nil {
-		n = newConnection(l.client, 1)
+		n = newConnection(l.client, 1, true)
 		l.connections[number] = n
 	}
 	return n, nil
@@ -83,17 +86,24 @@
 // connection is one numbered connection, or the control connections, of a leaf.
 // It has a Transport of its own, because a Transport does not let its user
 // choose among its connections.
+//
+// A numbered connection is connected once. When it has died, calls on it fail
+// unsent until it is closed: a Transport would silently connect again, and the
+// process that then answers may have just started and be cold.
 type connection struct {
 	transport *http.Transport
+	numbered  bool
 
 	mu     sync.Mutex
 	open   map[*trackedConn]struct{}
+	dialed bool
 	closed bool
 }
 
-func newConnection(c *Client, limit int) *connection {
+func newConnection(c *Client, limit int, numbered bool) *connection {
 	n := &connection{
-		open: make(map[*trackedConn]struct{}),
+		numbered: numbered,
+		open:     make(map[*trackedConn]struct{}),
 	}
 	n.transport = &http.Transport{
 		DialContext: func(_ context.Context, network, address string) (net.Conn, error) {
@@ -110,6 +120,9 @@
 // dial opens a connection under the client's own context. A call that gives up
 // while its connection is being opened leaves it to the next call.
 func (n *connection) dial(c *Client, network, address string) (net.Conn, error) {
+	if !n.mayDial() {
+		return nil, errDead
+	}
 	ctx, cancel := context.WithTimeout(c.base, c.config.DialTimeout)
 	defer cancel()
 	raw, err := c.config.Dial(ctx, network, address)
@@ -122,14 +135,30 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.closed {
+	if n.closed || (n.numbered && n.dialed) {
 		_ = raw.Close()
 		return nil, errSealed
 	}
 	n.open[conn] = struct{}{}
+	n.dialed = true
 	return conn, nil
 }
 
+func (n *connection) mayDial() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.numbered || !n.dialed
+}
+
+// identify notes which process is at the other end.
+func (n *connection) identify(incarnation anvilmodel.Incarnation) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for conn := range n.open {
+		conn.incarnation = incarnation
+	}
+}
+
 // close ends the open connections; a later call opens a new one.
 func (n *connection) close() {
 	n.mu.Lock()
@@ -137,6 +166,7 @@
 	for conn := range n.open {
 		conns = append(conns, conn)
 	}
+	n.dialed = false
 	n.mu.Unlock()
 	for _, conn := range conns {
 		conn.seal(0)
--- a/anvilupstream/control.go
+++ b/anvilupstream/control.go
@@ -36,6 +36,32 @@
 // BadStatus, TooLarge or BadReply.
 func (c *Client) State(ctx context.Context, address netip.AddrPort) (anvilmodel.LeafState, error) {
 	status, body, err := c.controlRequest(ctx, http.MethodGet, address, anvilwire.PathLeafState)
+	return decodeState(address, status, body, err)
+}
+
+// Open connects a numbered connection that is not connected and reads the state
+// endpoint over it, so that the incarnation at its other end is known before a
+// call is sent. It returns the errors of State.
+func (c *Client) Open(ctx context.Context, address netip.AddrPort, number int) (anvilmodel.LeafState, error) {
+	l, err := c.leaf(address)
+	if err != nil {
+		return anvilmodel.LeafState{}, err
+	}
+	n, err := l.connection(number)
+	if err != nil {
+		return anvilmodel.LeafState{}, err
+	}
+	status, body, err := c.exchange(ctx, n, http.MethodGet, l, anvilwire.PathLeafState)
+	state, err := decodeState(address, status, body, err)
+	if err != nil {
+		n.close()
+		return state, err
+	}
+	n.identify(state.Incarnation)
+	return state, nil
+}
+
+func decodeState(address netip.AddrPort, status int, body []byte, err error) (anvilmodel.LeafState, error) {
 	if err != nil {
 		return anvilmodel.LeafState{}, err
 	}
@@ -56,6 +82,12 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	return c.exchange(ctx, l.control, method, l, path)
+}
+
+// exchange sends a request without a body on a given connection.
+func (c *Client) exchange(ctx context.Context, n *connection, method string, l *leaf, path string) (int, []byte, error) {
+	address := l.address
 	ctx, cancel := context.WithTimeout(ctx, c.config.ControlTimeout)
 	defer cancel()
 	target := *l.callURL
@@ -64,7 +96,7 @@
 	if err != nil {
 		return 0, nil, Unreachable.Wrap(err, "%s %s at leaf at %s", method, path, address)
 	}
-	resp, err := l.control.transport.RoundTrip(req)
+	resp, err := n.transport.RoundTrip(req)
 	if err != nil {
 		return 0, nil, wrapControl(ctx, err, method, path, address)
 	}
--- a/anvilupstream/resend_test.go
+++ b/anvilupstream/resend_test.go
@@ -202,5 +202,6 @@
 	if out := client.Call(t.Context(), f.address(t), 0, newCall(1000, longEnough)); out.Reply.Result != anvilmodel.CallBroken {
 		t.Errorf("reply of another incarnation: got %s", out.Reply.Result)
 	}
+	client.Close(f.address(t), 0)
 	wantOK(t, client.Call(t.Context(), f.address(t), 0, newCall(1001, longEnough)), true)
 }
