Log what a forced end cuts off, and audit only real replacements

Change: Run logs the end once, also when it is forced; the first incarnation of a leaf is no audit event. Conclusion: the ring keeps its room for changes.

--- a/anvilnode/leafrunner.go
+++ b/anvilnode/leafrunner.go
@@ -35,7 +35,8 @@
 	judged anvilmodel.LeafState
 	known  bool
 
-	// dispatcher and replies belong to the runner's goroutine.
+	// The fields below belong to the runner's goroutine.
+	seen       bool
 	dispatcher *anvilleaf.Dispatcher
 	replies    map[anvilmodel.CallID]func(anvilmodel.CallReply)
 }
@@ -261,6 +262,11 @@
 }
 
 func (r *leafRunner) audit(e anvilleaf.Event) {
+	if e.Kind == anvilleaf.EventNewIncarnation && !r.seen {
+		// The first incarnation that this dispatcher sees replaces nothing.
+		r.seen = true
+		return
+	}
 	r.node.record(anvilaudit.Event{
 		Kind:    leafEventKinds[e.Kind],
 		Subject: string(e.Leaf),
--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -89,6 +89,7 @@
 	refusing      atomic.Bool
 	stopped       chan struct{}
 	stopOnce      sync.Once
+	logOnce       sync.Once
 	tasks         sync.WaitGroup
 	background    context.Context
 	cancel        context.CancelFunc
@@ -213,6 +214,7 @@
 	n.goRun(n.runHousekeeping)
 	select {
 	case <-ctx.Done():
+		n.logStopped("ended without waiting for what runs")
 		n.stop()
 	case <-n.stopped:
 	}
--- a/anvilnode/shutdown.go
+++ b/anvilnode/shutdown.go
@@ -34,12 +34,19 @@
 	for n.running() > 0 && ctx.Err() == nil {
 		sleep(ctx, shutdownPoll)
 	}
+	return n.logStopped(cause)
+}
+
+// logStopped says once what is cut off, and returns it.
+func (n *Node) logStopped(cause string) int {
 	cut := n.running()
-	n.config.Log.Info().
-		Str("event", "node-stopped").
-		Str("cause", cause).
-		Int("cut-off", cut).
-		Send()
+	n.logOnce.Do(func() {
+		n.config.Log.Info().
+			Str("event", "node-stopped").
+			Str("cause", cause).
+			Int("cut-off", cut).
+			Send()
+	})
 	return cut
 }
 
