--- a/anvilserver/endpoint.go
+++ b/anvilserver/endpoint.go
@@ -51,16 +51,25 @@
 	}
 }
 
+// refusalBurst bounds the logged refusals per second: a shedding node refuses
+// thousands, and logging them all would cost the time that it lacks. The metrics
+// count every one.
+const refusalBurst = 100
+
 // logQueries logs refusals at info level and answers at debug level, so that
 // the usual load does not write a line for each query.
 func logQueries(log zerolog.Logger) endpoint.Middleware {
+	refusals := log.Sample(&zerolog.BurstSampler{
+		Burst:  refusalBurst,
+		Period: time.Second,
+	})
 	return func(next endpoint.Endpoint) endpoint.Endpoint {
 		return func(ctx context.Context, request any) (any, error) {
 			response, err := next(ctx, request)
 			r := result(request.(queryRequest), response, err)
 			event := log.Debug()
 			if r.Refusal != nil {
-				event = log.Info().
+				event = refusals.Info().
 					Str("ran", r.Refusal.Ran.String()).
 					Str("detail", r.Refusal.Detail)
 			}
