Make the callers' examples run as they stand

Cause: run against the stand-ins by hand, the ticket example was refused for its timeout and named an incarnation that does not exist; long answers were chunked.

--- a/anvildemo/fleet.go
+++ b/anvildemo/fleet.go
@@ -51,7 +51,7 @@
 			classes: []classText{
 				{
 					name: "certify",
-					text: "mode: urgent, timeout: 400ms, return-reserve: 10ms, non-idempotent: true, priority: 30",
+					text: "mode: urgent, timeout: 500ms, return-reserve: 10ms, non-idempotent: true, priority: 30",
 				},
 			},
 		},
--- a/anvildemo/load.go
+++ b/anvildemo/load.go
@@ -47,7 +47,7 @@
 		{
 			name:          "certify",
 			service:       "grade-certification",
-			timeout:       400 * time.Millisecond,
+			timeout:       500 * time.Millisecond,
 			workers:       4,
 			interval:      40 * time.Millisecond,
 			nonIdempotent: true,
--- a/anvilserver/handler.go
+++ b/anvilserver/handler.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
@@ -164,6 +165,7 @@
 // A failed write means that the caller has gone; there is nobody to tell.
 func writeJSON(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set(anvilwire.HeaderContentType, contentTypeJSON)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
