Implement probing, suspicion, joining and news of the membership

A fresh process sends no incarnation until peers have told it what they know of its name, slot and address. States travel in the rest of each message, the freshest first.

--- /dev/null
+++ b/anvilmember/config.go
@@ -0,0 +1,135 @@
+package anvilmember
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"anvilbridge/anvilmodel"
+)
+
+// Defaults of Config.
+const (
+	DefaultProbePeriod     = time.Second
+	DefaultProbeTimeout    = 300 * time.Millisecond
+	DefaultSuspicionTime   = 2 * time.Second
+	DefaultPauseTime       = time.Second
+	DefaultIsolationTime   = 3 * time.Second
+	DefaultDeadProbePeriod = 3 * time.Second
+	DefaultListLifetime    = 30 * time.Second
+	DefaultForgetTime      = time.Hour
+	DefaultNewsItems       = 16
+	DefaultMessageBytes    = 600
+)
+
+const (
+	// tickPeriod is the longest time between two ticks. It is well below the pause
+	// time, so that an idle process is not taken for a paused one.
+	tickPeriod = 250 * time.Millisecond
+	// helpers is how many members are asked to probe on this node's behalf.
+	helpers = 2
+	// deathWitnesses is how many witnesses make a member dead.
+	deathWitnesses = 2
+	// fewMembers is the number of usable members below which one witness is enough
+	// after twice the suspicion time: nobody else could be the second.
+	fewMembers = 3
+	// confirmers is how many of the members that hear of a suspicion probe the
+	// suspect at once, on average. They become witnesses or let it refute.
+	confirmers = 8
+	// confirmsPerPeriod limits such probes of one node, so that the loss of a whole
+	// failure domain does not multiply its control work.
+	confirmsPerPeriod = 2
+	// burstProbes is how many members hear at once that a node has joined or leaves.
+	burstProbes = 8
+	// joinReplies and joinTime end the join: so many peers told a fresh process
+	// what they know of its name, slot and address, or none of them answered.
+	joinReplies = 3
+	joinTime    = 2 * time.Second
+	// joinLimit ends the join when neither list nor peers are there.
+	joinLimit = 10 * time.Second
+	// versionPeriod is the unit of Item.Version, counted from the start of the
+	// process: a version says how old a state is.
+	versionPeriod = 250 * time.Millisecond
+	// silentTime is how long nothing new may be heard of a member before it is
+	// probed out of turn. With 410 members 99 in 100 states are younger.
+	silentTime = 2 * time.Minute
+	// catchUpProbes is the number of such probes a period when more than a tenth of
+	// the members are silent, as after a start or a pause.
+	catchUpProbes = 3
+	// largeDomain is the number of members in this node's failure domain from which
+	// on one of them is probed in each period in addition.
+	largeDomain = 32
+	// smallestItem is less than any item needs, in bytes.
+	smallestItem = 16
+	// maxRelays limits the probes in flight on behalf of others.
+	maxRelays = 64
+)
+
+// Config holds the settings of a Membership. Zero durations and counts take the
+// defaults.
+type Config struct {
+	// Self is this node. Its incarnation is the wall-clock reading in milliseconds
+	// at the start of the process.
+	Self   anvilmodel.Member
+	Random *rand.Rand
+	// ProbePeriod is the time between two regular probes.
+	ProbePeriod time.Duration
+	// ProbeTimeout is the time to wait for a direct reply; an indirect probe may
+	// take twice as long.
+	ProbeTimeout time.Duration
+	// SuspicionTime is how long a suspect has to refute.
+	SuspicionTime time.Duration
+	// PauseTime is the gap between two calls above which the process is taken to
+	// have paused.
+	PauseTime time.Duration
+	// IsolationTime is how long the node may hear from nobody before it counts as
+	// isolated.
+	IsolationTime time.Duration
+	// DeadProbePeriod is the time between two probes of dead members.
+	DeadProbePeriod time.Duration
+	// ListLifetime is how long a list that was read counts as a witness.
+	ListLifetime time.Duration
+	// ForgetTime is how long a dead member that is not listed is remembered.
+	ForgetTime time.Duration
+	// NewsItems limits the items of a message, MessageBytes its encoded size.
+	NewsItems    int
+	MessageBytes int
+}
+
+func (c Config) withDefaults() Config {
+	for _, d := range []struct {
+		value *time.Duration
+		other time.Duration
+	}{
+		{&c.ProbePeriod, DefaultProbePeriod},
+		{&c.ProbeTimeout, DefaultProbeTimeout},
+		{&c.SuspicionTime, DefaultSuspicionTime},
+		{&c.PauseTime, DefaultPauseTime},
+		{&c.IsolationTime, DefaultIsolationTime},
+		{&c.DeadProbePeriod, DefaultDeadProbePeriod},
+		{&c.ListLifetime, DefaultListLifetime},
+		{&c.ForgetTime, DefaultForgetTime},
+	} {
+		if *d.value <= 0 {
+			*d.value = d.other
+		}
+	}
+	if c.NewsItems <= 0 {
+		c.NewsItems = DefaultNewsItems
+	}
+	if c.MessageBytes <= 0 {
+		c.MessageBytes = DefaultMessageBytes
+	}
+	return c
+}
+
+// SelfState is what the node says of itself.
+type SelfState struct {
+	// Load is the share of the node's capacity in use, from 0.
+	Load float64
+	// Revision is the store version of the configuration in force.
+	Revision uint64
+	Serving  bool
+	// Leaving cannot be taken back.
+	Leaving     bool
+	TicketEpoch uint32
+}
--- /dev/null
+++ b/anvilmember/merge.go
@@ -0,0 +1,283 @@
+package anvilmember
+
+import (
+	"slices"
+	"time"
+
+	"anvilbridge/anvilmodel"
+)
+
+// mergeSender takes the entry of the node that sent a message.
+func (m *Membership) mergeSender(i Item, a *Actions) {
+	if i.Member.Incarnation == 0 {
+		m.restarted(i)
+		return
+	}
+	m.merge(i, true, a)
+}
+
+// restarted notes that a process answers under the name that has not announced
+// itself yet: the incarnation known so far has ended.
+func (m *Membership) restarted(i Item) {
+	r := m.byName[i.Member.Name]
+	if r == nil {
+		return
+	}
+	r.failed = false
+	if r.living() {
+		m.setStatus(r, anvilmodel.MemberUnheard)
+	}
+}
+
+func (m *Membership) mergeNews(news []Item, a *Actions) {
+	for _, i := range news {
+		if i.Member.Incarnation != 0 {
+			m.merge(i, false, a)
+		}
+	}
+}
+
+// merge takes a statement about a member; direct says that the member made it.
+func (m *Membership) merge(i Item, direct bool, a *Actions) {
+	if i.Member.Name == m.self.Member.Name {
+		m.mergeSelf(i, direct, a)
+		return
+	}
+	r := m.byName[i.Member.Name]
+	if r == nil {
+		if !i.Member.PeerAddress.IsValid() {
+			return
+		}
+		r = m.add(i.Member.Name)
+	}
+	switch {
+	case i.Member.Incarnation < r.member.Incarnation:
+		return
+	case i.Member.Incarnation > r.member.Incarnation:
+		m.mergeNewer(r, i, direct, a)
+	default:
+		m.mergeEqual(r, i, direct, a)
+	}
+}
+
+// mergeSelf takes what others say of this node.
+func (m *Membership) mergeSelf(i Item, direct bool, a *Actions) {
+	e := &m.self.Member
+	if !m.announced {
+		m.raise(i.Member.Incarnation)
+		return
+	}
+	if i.Member.Incarnation > e.Incarnation {
+		m.supersede("a later incarnation of this name", a)
+		return
+	}
+	bad := i.Member.Status == anvilmodel.MemberSuspect || i.Member.Status == anvilmodel.MemberDead || len(i.Witnesses) > 0
+	if direct || !bad || m.superseded || i.Member.Incarnation < e.Incarnation || i.Member.Counter < e.Counter {
+		return
+	}
+	e.Counter = i.Member.Counter + 1
+	m.members = nil
+	a.Events = append(a.Events, Event{
+		Kind:        EventRefuted,
+		Member:      e.Name,
+		Slot:        e.Slot,
+		Incarnation: e.Incarnation,
+		Cause:       "this node is not " + i.Member.Status.String(),
+		Witnesses:   i.Witnesses,
+	})
+}
+
+// mergeNewer takes the first statement about an incarnation.
+func (m *Membership) mergeNewer(r *record, i Item, direct bool, a *Actions) {
+	e := &r.member
+	old := *e
+	*e = i.Member
+	fillPlace(e, &old)
+	r.version = 0
+	r.origin = never
+	r.updatedAt = m.at
+	r.reachedAt = never
+	r.witnesses = nil
+	r.leaving = i.Member.Status == anvilmodel.MemberLeaving
+	r.replaced = false
+	r.failed = false
+	if r.markedLeaving && r.listedLeaving == 0 {
+		r.listedLeaving = e.Incarnation
+	}
+	e.Status = old.Status
+	m.mergeState(r, i, direct)
+	m.indexSlots()
+	m.mergeFirst(r, i, a)
+	m.settleSeat(r, a)
+}
+
+// mergeFirst takes the judgement of the first statement about an incarnation.
+func (m *Membership) mergeFirst(r *record, i Item, a *Actions) {
+	switch i.Member.Status {
+	case anvilmodel.MemberDead:
+		if len(i.Witnesses) >= deathWitnesses {
+			r.witnesses = i.Witnesses
+			m.bury(r, "news", a)
+			return
+		}
+		fallthrough
+	case anvilmodel.MemberUnheard:
+		// Not enough for a judgement, nor a reason to use it: it has to answer first.
+		m.setStatus(r, anvilmodel.MemberUnheard)
+		r.failed = true
+		return
+	}
+	m.setStatus(r, anvilmodel.MemberAlive)
+	m.event(a, EventJoined, r, "new incarnation")
+	m.queueNews(r, newsJoin)
+	if r.isLeaving() {
+		m.event(a, EventLeaving, r, "with its announcement")
+	}
+	m.mergeJudgement(r, i, a)
+}
+
+// fillPlace keeps the known place of a member where a statement leaves it out.
+func fillPlace(e, old *anvilmodel.Member) {
+	if e.Slot == "" {
+		e.Slot = old.Slot
+	}
+	if e.FailureDomain == "" {
+		e.FailureDomain = old.FailureDomain
+	}
+	if !e.CallerAddress.IsValid() {
+		e.CallerAddress = old.CallerAddress
+	}
+	if !e.PeerAddress.IsValid() {
+		e.PeerAddress = old.PeerAddress
+	}
+}
+
+// mergeEqual takes a statement about the incarnation that is known.
+func (m *Membership) mergeEqual(r *record, i Item, direct bool, a *Actions) {
+	if r.replaced {
+		return
+	}
+	if r.member.Status == anvilmodel.MemberUnheard {
+		if !direct && i.Member.Counter <= r.member.Counter {
+			return
+		}
+		r.failed = false
+		m.setStatus(r, anvilmodel.MemberAlive)
+		m.event(a, EventReturned, r, "heard of again")
+	}
+	e := &r.member
+	if e.Slot == "" && i.Member.Slot != "" {
+		fillPlace(e, &i.Member)
+		m.indexSlots()
+		m.settleSeat(r, a)
+	}
+	if r.replaced {
+		return
+	}
+	m.mergeState(r, i, direct)
+	if r.news == newsJoin && r.newsLeft > 0 {
+		// The sender knows already; when a whole fleet starts this ends the flood.
+		r.newsLeft--
+	}
+	if i.Member.Status == anvilmodel.MemberLeaving && !r.leaving {
+		r.leaving = true
+		m.members = nil
+		m.event(a, EventLeaving, r, "said by the member")
+		m.queueNews(r, newsLeaving)
+	}
+	if i.Member.Counter > e.Counter {
+		m.refuted(r, i.Member.Counter, a)
+	}
+	if i.Member.Counter == e.Counter {
+		m.mergeJudgement(r, i, a)
+	}
+}
+
+// mergeState takes load, revision, serving and ticket epoch if they are later than
+// the known ones.
+func (m *Membership) mergeState(r *record, i Item, direct bool) {
+	if i.Version == 0 {
+		return
+	}
+	origin := m.at - time.Duration(i.Version)*versionPeriod
+	if direct || r.origin == never || origin < r.origin {
+		r.origin = origin
+	}
+	if i.Version <= r.version {
+		return
+	}
+	e := &r.member
+	e.Serving = i.Member.Serving
+	e.Load = i.Member.Load
+	e.Revision = i.Member.Revision
+	e.TicketEpoch = i.Member.TicketEpoch
+	r.version = i.Version
+	r.updatedAt = m.at
+	m.members = nil
+}
+
+// refuted takes a higher counter, which the member can only have taken after it
+// heard of the suspicion or of its death.
+func (m *Membership) refuted(r *record, counter uint32, a *Actions) {
+	old := r.member.Status
+	r.member.Counter = counter
+	r.witnesses = nil
+	if old == anvilmodel.MemberAlive {
+		return
+	}
+	m.setStatus(r, anvilmodel.MemberAlive)
+	kind := EventRefuted
+	if old == anvilmodel.MemberDead {
+		kind = EventReturned
+		m.enqueueProbe(r)
+	}
+	m.event(a, kind, r, "higher counter")
+	m.queueNews(r, newsRefuted)
+}
+
+// mergeJudgement takes what a statement of the same counter says about the member's
+// reachability.
+func (m *Membership) mergeJudgement(r *record, i Item, a *Actions) {
+	witnesses := i.Witnesses
+	// Whether this node is a witness it knows itself; after a pause it is none.
+	if k := slices.Index(witnesses, m.self.Member.Name); k >= 0 {
+		witnesses = slices.Delete(slices.Clone(witnesses), k, k+1)
+	}
+	if len(witnesses) == 0 || !r.living() {
+		return
+	}
+	m.suspect(r, witnesses, "news", a)
+	if r.member.Status != anvilmodel.MemberSuspect {
+		return
+	}
+	dead := i.Member.Status == anvilmodel.MemberDead && len(i.Witnesses) >= deathWitnesses
+	// A node that reached the member lately lets it refute first.
+	if dead && (r.reachedAt == never || m.at-r.reachedAt > m.config.SuspicionTime) {
+		m.bury(r, "news", a)
+	}
+}
+
+func (m *Membership) setStatus(r *record, s anvilmodel.MemberStatus) {
+	if r.member.Status == s {
+		return
+	}
+	if r.member.Status == anvilmodel.MemberSuspect {
+		m.suspects--
+	}
+	if s == anvilmodel.MemberSuspect {
+		m.suspects++
+	}
+	r.member.Status = s
+	m.members = nil
+}
+
+func (m *Membership) event(a *Actions, k EventKind, r *record, cause string) {
+	a.Events = append(a.Events, Event{
+		Kind:        k,
+		Member:      r.member.Name,
+		Slot:        r.member.Slot,
+		Incarnation: r.member.Incarnation,
+		Cause:       cause,
+		Witnesses:   r.witnesses,
+	})
+}
