Deliver the end of a query under the origin's lock

The end of a query was delivered after the lock was given up, looked up by the pointer of a pooled query. When the caller of the first query had gone in between, the query was released and reused, and the late end went to the next request. Ruled out: the answer itself is not pooled. Change: the end is handed over while the lock is held that also guards release. Conclusion: an end can only reach the run that it belongs to.

--- a/anvilnode/query.go
+++ b/anvilnode/query.go
@@ -173,6 +173,7 @@
 	query, actions := n.origin.Start(request, time.Now(), nil)
 	n.runs[query] = run
 	run.armed = query.Next()
+	n.deliverFinish(actions)
 	n.originLock.Unlock()
 	n.carryOutQuery(actions)
 	finish := n.awaitQuery(ctx, query, run)
@@ -207,6 +208,7 @@
 	if !query.Done() {
 		run.armed = query.Next()
 	}
+	n.deliverFinish(actions)
 	n.originLock.Unlock()
 	n.carryOutQuery(actions)
 }
@@ -222,6 +224,7 @@
 func (n *Node) abandonQuery(query *anvilquery.Query, run *queryRun) anvilquery.Action {
 	n.originLock.Lock()
 	actions := query.Abandon(time.Now(), nil)
+	n.deliverFinish(actions)
 	n.originLock.Unlock()
 	n.carryOutQuery(actions)
 	select {
@@ -253,6 +256,7 @@
 			}
 		}
 	}
+	n.deliverFinish(actions)
 	n.originLock.Unlock()
 	if query == nil {
 		n.metrics.Add(anvilmetric.RepliesDropped, 1)
@@ -260,6 +264,20 @@
 	n.carryOutQuery(actions)
 }
 
+// deliverFinish hands the end of a query to the goroutine that waits for it. The
+// caller holds the origin's lock: once it is given up, the query may be released
+// and its memory be another request's.
+func (n *Node) deliverFinish(actions []anvilquery.Action) {
+	for _, a := range actions {
+		if a.Kind != anvilquery.ActionFinish {
+			continue
+		}
+		if run := n.runs[a.Query]; run != nil {
+			run.finished <- a
+		}
+	}
+}
+
 func (n *Node) carryOutQuery(actions []anvilquery.Action) {
 	for _, a := range actions {
 		switch a.Kind {
@@ -268,12 +286,7 @@
 		case anvilquery.ActionCancel:
 			n.cancelCall(a.Call.ID)
 		case anvilquery.ActionFinish:
-			n.originLock.Lock()
-			run := n.runs[a.Query]
-			n.originLock.Unlock()
-			if run != nil {
-				run.finished <- a
-			}
+			// Delivered already, under the origin's lock.
 		}
 	}
 }
