--- /dev/null
+++ b/anvilleaf/bench_test.go
@@ -0,0 +1,145 @@
+package anvilleaf_test
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"anvilbridge/anvilleaf"
+	"anvilbridge/anvilmodel"
+)
+
+// gradientRule moves the limit with the ratio of the floor to the recent
+// service time, and leaves room for the square root of the limit.
+func gradientRule(s anvilleaf.LimitSample) float64 {
+	if s.Shed {
+		return s.Limit / 2
+	}
+	if !s.InUse || s.Floor == 0 {
+		return s.Limit
+	}
+	ratio := min(max(1.5*float64(s.Floor)/float64(s.Recent), 0.5), 1)
+	return 0.95*s.Limit + 0.05*(s.Limit*ratio+math.Sqrt(s.Limit))
+}
+
+// BenchmarkLimitRules compares limit rules on one leaf of 3 slots in virtual
+// time. It prints the shares of calls that were good, shed by the leaf, refused
+// by the dispatcher or late, and the 99th percentile in milliseconds of good
+// calls, and of the urgent fifth of them, from submission to reply.
+func BenchmarkLimitRules(b *testing.B) {
+	rules := map[string]anvilleaf.LimitRule{
+		"1-fixed": func(s anvilleaf.LimitSample) float64 { return float64(s.Slots) },
+		"2-shed-only": func(s anvilleaf.LimitSample) float64 {
+			s.Recent, s.SinceShed = s.Floor, time.Hour
+			return anvilleaf.DefaultRule(s)
+		},
+		"3-no-hold": func(s anvilleaf.LimitSample) float64 {
+			s.SinceShed = time.Hour
+			return anvilleaf.DefaultRule(s)
+		},
+		"4-gradient": gradientRule,
+		"5-default":  anvilleaf.DefaultRule,
+	}
+	for _, leaf := range []string{"queues", "sheds"} {
+		for _, load := range []float64{0.7, 0.95, 1.3} {
+			for nodes := 1; nodes <= 2; nodes++ {
+				for _, name := range slices.Sorted(maps.Keys(rules)) {
+					b.Run(fmt.Sprintf("%s/load=%g/nodes=%d/%s", leaf, load, nodes, name), func(b *testing.B) {
+						for b.Loop() {
+							limitTrial(b, leaf == "queues", load, nodes, rules[name])
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+func limitTrial(b *testing.B, queues bool, load float64, nodes int, rule anvilleaf.LimitRule) {
+	b.Helper()
+	const mean = 8 * time.Millisecond
+	s := newSim(7, 3, queues)
+	s.service = func() time.Duration {
+		// A fixed part and an exponential part; one call in 50 takes 5 times as long.
+		t := mean/2 + time.Duration(s.rand.ExpFloat64()*float64(mean/2))
+		if s.rand.IntN(50) == 0 {
+			t *= 5
+		}
+		return t
+	}
+	for range nodes {
+		s.add(anvilleaf.Config{
+			Slots: 3,
+			Share: share(10, 1),
+			Rule:  rule,
+		}).adopt(10, false, 0)
+	}
+	rate := load * 3 / (float64(mean) * 1.08)
+	var arrive func()
+	arrive = func() {
+		s.nodes[s.rand.IntN(nodes)].submit(timeout, max(s.rand.IntN(5)-3, 0), false)
+		s.after(time.Duration(s.rand.ExpFloat64()/rate), arrive)
+	}
+	s.after(200*time.Millisecond, arrive)
+	s.runFor(60 * time.Second)
+	arrivals, counts := 0, map[string]int{}
+	var good, urgent []time.Duration
+	for _, n := range s.nodes {
+		arrivals += len(n.calls)
+		for id, c := range n.calls {
+			r := n.last[id]
+			counts[fmt.Sprint(r.Result, r.Incarnation)]++
+			if r.Result == anvilmodel.CallOK {
+				good = append(good, n.took[id])
+			}
+			if r.Result == anvilmodel.CallOK && c.Priority > 0 {
+				urgent = append(urgent, n.took[id])
+			}
+		}
+	}
+	for name, key := range map[string]string{"good": "ok 10", "shed": "shed 10", "refused": "shed 0", "late": "timeout 0"} {
+		b.ReportMetric(float64(counts[key])/float64(arrivals), name)
+	}
+	slices.Sort(good)
+	slices.Sort(urgent)
+	b.ReportMetric(good[len(good)*99/100].Seconds()*1000, "p99")
+	b.ReportMetric(urgent[len(urgent)*99/100].Seconds()*1000, "urgent-p99")
+}
+
+// BenchmarkCall measures one call from Submit over its start to Done on a warm
+// leaf, with the connections in use. The bound is 4 allocations per call.
+func BenchmarkCall(b *testing.B) {
+	now := epoch
+	d := anvilleaf.New(anvilleaf.Config{
+		Slots: 3,
+		Share: share(10, 1),
+	}, now)
+	actions := d.AdoptJudgement(stated(10, false, false, 0), now, nil)
+	call := anvilmodel.Call{Timeout: timeout}
+	call.ID.Request = "0123456789abcdef"
+	outcome := anvilleaf.Outcome{
+		Connection: 1,
+		Written:    true,
+	}
+	outcome.Reply.Result = anvilmodel.CallOK
+	outcome.Reply.Incarnation = 10
+	b.ReportAllocs()
+	for b.Loop() {
+		call.ID.Attempt++
+		outcome.Reply.ID = call.ID
+		actions = d.Submit(call, now, actions[:0])
+		for i := 0; i < len(actions); i++ {
+			if actions[i].Kind == anvilleaf.ActionOpen {
+				actions = d.Opened(actions[i].Connection, 10, now, actions)
+			}
+		}
+		now = now.Add(time.Millisecond)
+		actions = d.Done(outcome, now, actions[:0])
+	}
+	if c := d.Status(now).Counters; c.Started != c.Submitted || c.DroppedReplies > 0 {
+		b.Fatalf("%+v", c)
+	}
+}
--- a/anvilleaf/connection.go
+++ b/anvilleaf/connection.go
@@ -154,6 +154,16 @@
 	})
 }
 
+// closeIdle closes the idle connections before a probe of the breaker. They may
+// have gone silent together with those that failed, and a fresh one has not.
+func (d *Dispatcher) closeIdle() {
+	for n := range d.connections {
+		if d.connections[n].state == connectionIdle {
+			d.close(n)
+		}
+	}
+}
+
 // opened takes a new connection into use. A state read over it proves that the
 // leaf answers on a fresh connection.
 func (d *Dispatcher) opened(n int, i anvilmodel.Incarnation) {
--- a/anvilleaf/dispatcher.go
+++ b/anvilleaf/dispatcher.go
@@ -1,5 +1,3 @@
-// Package anvilleaf decides, for one leaf, which calls wait, start or are
-// refused, and over which connections they go.
 package anvilleaf
 
 import (
--- a/anvilleaf/gate.go
+++ b/anvilleaf/gate.go
@@ -38,8 +38,8 @@
 func (d *Dispatcher) SetIsolated(isolated bool, now time.Time, actions []Action) []Action {
 	d.enter(now, actions)
 	d.expire()
+	d.shrunk = d.shrunk || isolated != d.isolated
 	d.isolated = isolated
-	d.shrunk = true
 	return d.leave()
 }
 
--- a/anvilleaf/judge.go
+++ b/anvilleaf/judge.go
@@ -283,13 +283,6 @@
 	}
 	d.audit(EventBreakerOpen, cause, 0)
 	d.shrunk = true
-	// Idle connections may have gone silent together with those that failed,
-	// so the probe goes over a fresh one.
-	for n := range d.connections {
-		if d.connections[n].state == connectionIdle {
-			d.close(n)
-		}
-	}
 	if !j.cold {
 		d.ramp()
 	}
--- a/anvilleaf/limit.go
+++ b/anvilleaf/limit.go
@@ -7,8 +7,8 @@
 	// growBelow is the rise of the recent mean service time over its floor up
 	// to which the limit still grows; over dropAbove the leaf queues calls
 	// itself, and a limit over the slots comes down again.
-	growBelow = 1.5
-	dropAbove = 1.8
+	growBelow = 1.8
+	dropAbove = 2.2
 	// shedHold is the time for which the limit stays below the number of calls
 	// that led to a shed. Without it, a leaf that sheds all over its slots
 	// refuses one call in ten.
--- a/anvilleaf/run.go
+++ b/anvilleaf/run.go
@@ -29,26 +29,35 @@
 
 // headroom returns how many more calls may be in flight now.
 func (d *Dispatcher) headroom() int {
+	limit := d.startLimit(d.now)
+	if limit > 0 && d.breaker.state(d.now) == BreakerHalfOpen {
+		if d.breaker.probe == nil || d.breaker.probe.started() {
+			return 0
+		}
+		if !d.judgement.cold {
+			// Calls from before the opening do not hold up the probe.
+			return 1
+		}
+	}
+	return max(limit-d.inFlight(), 0)
+}
+
+// startLimit returns the limit under which calls may start at now.
+func (d *Dispatcher) startLimit(now time.Time) int {
 	if d.away() {
 		return 0
 	}
-	if d.judgement.cold {
-		if d.isolated || d.now.Before(d.quietUntil) {
-			return 0
-		}
+	if d.judgement.cold && (d.isolated || now.Before(d.quietUntil)) {
+		return 0
 	}
-	switch d.breaker.state(d.now) {
+	switch d.breaker.state(now) {
 	case BreakerOpen:
 		return 0
 	case BreakerHalfOpen:
-		if d.breaker.probe == nil || d.breaker.probe.started() {
-			return 0
-		}
-		if !d.judgement.cold {
-			return 1
-		}
+		return min(d.limitNow(), 1)
+	default:
+		return d.limitNow()
 	}
-	return max(d.limitNow()-d.inFlight(), 0)
 }
 
 // limitNow returns the limit that goes with the judgement of the leaf.
--- a/anvilleaf/status.go
+++ b/anvilleaf/status.go
@@ -107,21 +107,3 @@
 	}
 	return s
 }
-
-// startLimit returns the limit under which calls may start at now.
-func (d *Dispatcher) startLimit(now time.Time) int {
-	if d.away() {
-		return 0
-	}
-	if d.judgement.cold && (d.isolated || now.Before(d.quietUntil)) {
-		return 0
-	}
-	switch d.breaker.state(now) {
-	case BreakerOpen:
-		return 0
-	case BreakerHalfOpen:
-		return min(d.limitNow(), 1)
-	default:
-		return d.limitNow()
-	}
-}
--- a/anvilleaf/submit.go
+++ b/anvilleaf/submit.go
@@ -44,6 +44,7 @@
 	d.calls[c.ID] = e
 	if d.breaker.state(d.now) == BreakerHalfOpen {
 		d.breaker.probe = e
+		d.closeIdle()
 	}
 	d.wakeAt(e.deadline.Add(-d.latency.fastest()))
 }
--- a/anvilticket/register.go
+++ b/anvilticket/register.go
@@ -1,5 +1,3 @@
-// Package anvilticket keeps the register with which a node incarnation runs
-// each non-idempotent request at most once.
 package anvilticket
 
 import (
