--- a/anvilleaf/connection.go
+++ b/anvilleaf/connection.go
@@ -94,7 +94,7 @@
 	if demand := d.queue.len() + min(len(d.running), 1); demand > 0 {
 		need = min(d.headroom(), demand) - d.count(connectionIdle) - d.count(connectionOpening)
 	}
-	if d.probeWanted && need < 1 && d.count(connectionOpening) == 0 {
+	if d.probeWanted && !d.away() && need < 1 && d.count(connectionOpening) == 0 {
 		need = 1
 	}
 	for ; need > 0; need-- {
--- a/anvilleaf/judge.go
+++ b/anvilleaf/judge.go
@@ -171,7 +171,10 @@
 	case anvilmodel.CallOK:
 		d.succeed(e, o.Reply.Cold, inFlight >= d.limitNow())
 	case anvilmodel.CallShed:
+		d.signOfLife()
 		d.shed(e, inFlight)
+	case anvilmodel.CallSnapshotGone:
+		d.signOfLife()
 	case anvilmodel.CallFailed:
 		d.fail("calls fail")
 	}
@@ -220,10 +223,6 @@
 	d.counters.Shed++
 	j.good = 0
 	j.window.add(true)
-	if d.breaker.open {
-		// The leaf answers, which is what the breaker waits for.
-		d.closeBreaker()
-	}
 	if j.cold {
 		return
 	}
@@ -239,25 +238,6 @@
 	}
 }
 
-// adapt applies the limit rule.
-func (d *Dispatcher) adapt(inUse, shed bool) {
-	before := int(d.limit)
-	next := d.config.Rule(LimitSample{
-		Limit:     d.limit,
-		InUse:     inUse,
-		Shed:      shed,
-		Recent:    d.latency.recent,
-		Floor:     d.latency.floor,
-		Slots:     d.config.Slots,
-		ShedAt:    d.shedAt,
-		SinceShed: d.now.Sub(d.lastCut),
-	})
-	d.limit = min(max(next, 1), float64(d.config.WarmMaximum))
-	if int(d.limit) < before {
-		d.shrunk = true
-	}
-}
-
 // blameTimeout counts a timeout as a failure of the leaf, unless the call got
 // less than the usual service time and the leaf answered others meanwhile.
 func (d *Dispatcher) blameTimeout(e *entry) {
@@ -288,9 +268,17 @@
 	}
 }
 
-// closeBreaker takes a sign of life as the end of the breaker's back-off.
+// closeBreaker counts a good call, which ends the breaker's back-off.
 func (d *Dispatcher) closeBreaker() {
 	if d.breaker.succeed(d.now) {
 		d.audit(EventBreakerClosed, "probe answered", 0)
 	}
 }
+
+// signOfLife takes an answer that is neither good nor a failure. It ends the
+// breaker's back-off, but does not count among its calls.
+func (d *Dispatcher) signOfLife() {
+	if d.breaker.open {
+		d.closeBreaker()
+	}
+}
--- a/anvilleaf/limit.go
+++ b/anvilleaf/limit.go
@@ -65,3 +65,22 @@
 	}
 	return next
 }
+
+// adapt applies the limit rule.
+func (d *Dispatcher) adapt(inUse, shed bool) {
+	before := int(d.limit)
+	next := d.config.Rule(LimitSample{
+		Limit:     d.limit,
+		InUse:     inUse,
+		Shed:      shed,
+		Recent:    d.latency.recent,
+		Floor:     d.latency.floor,
+		Slots:     d.config.Slots,
+		ShedAt:    d.shedAt,
+		SinceShed: d.now.Sub(d.lastCut),
+	})
+	d.limit = min(max(next, 1), float64(d.config.WarmMaximum))
+	if int(d.limit) < before {
+		d.shrunk = true
+	}
+}
--- a/anvilleaf/property_test.go
+++ b/anvilleaf/property_test.go
@@ -81,6 +81,8 @@
 	case 8:
 		age := time.Duration(f.rand.IntN(3000)) * time.Millisecond
 		n.when(func() { n.observe(f.leaf.incarnation, f.rand.IntN(4) == 0, f.rand.IntN(16) == 0, age) })
+	case 7:
+		n.when(func() { n.do(n.d.Reconfigure(n.config, f.now, nil)) })
 	case 9, 10:
 		other := f.current[f.rand.IntN(len(f.current))]
 		if s, ok := other.d.LeafState(f.now); ok {
