--- a/anvilleaf/limit.go
+++ b/anvilleaf/limit.go
@@ -7,8 +7,8 @@
 	// growBelow is the rise of the recent mean service time over its floor up
 	// to which the limit still grows; over dropAbove the leaf queues calls
 	// itself, and a limit over the slots comes down again.
-	growBelow = 1.5
-	dropAbove = 1.8
+	growBelow = 1.8
+	dropAbove = 2.2
 	// shedHold is the time for which the limit stays below the number of calls
 	// that led to a shed. Without it, a leaf that sheds all over its slots
 	// refuses one call in ten.
@@ -65,3 +65,22 @@
 	}
 	return next
 }
+
+// adapt applies the limit rule.
+func (d *Dispatcher) adapt(inUse, shed bool) {
+	before := int(d.limit)
+	next := d.config.Rule(LimitSample{
+		Limit:     d.limit,
+		InUse:     inUse,
+		Shed:      shed,
+		Recent:    d.latency.recent,
+		Floor:     d.latency.floor,
+		Slots:     d.config.Slots,
+		ShedAt:    d.shedAt,
+		SinceShed: d.now.Sub(d.lastCut),
+	})
+	d.limit = min(max(next, 1), float64(d.config.WarmMaximum))
+	if int(d.limit) < before {
+		d.shrunk = true
+	}
+}
