Implement the choice of address answers

Members are drawn with a weight that falls from 2 when idle to 1 when full.

Whether a caller's failure domain goes first is decided by a share per domain that follows the domain's mean load slowly.

--- a/anviladdress/answer.go
+++ b/anviladdress/answer.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"anvilbridge/anvilmodel"
@@ -26,6 +27,9 @@
 	CallerDomain anvilmodel.FailureDomain
 	// OutDomains are the failure domains that operators have taken out.
 	OutDomains []anvilmodel.FailureDomain
+	// Shares says how much of the callers of a failure domain its nodes can take; nil
+	// always prefers the caller's failure domain.
+	Shares *Shares
 	// Count is the largest number of addresses; 0 takes the default.
 	Count int
 	// Lifetime is how long the caller may use the answer; 0 takes the default.
@@ -50,5 +54,40 @@
 	Lifetime time.Duration
 }
 
-// Choose returns an answer.
-func Choose(i Input) Answer { return Answer{} }
+// Choose returns an answer: nodes of the caller's failure domain first, unless
+// Shares says that they are overloaded, and suspects last. Nodes that are dead, leaving, not
+// serving, not announced or in a failure domain taken out are never named. When
+// this node knows of no other, it names itself, under the same rules.
+func Choose(i Input) Answer {
+	if i.Count <= 0 {
+		i.Count = DefaultCount
+	}
+	if i.Lifetime <= 0 {
+		i.Lifetime = DefaultLifetime
+	}
+	d := newDraw(i)
+	for len(d.chosen) < i.Count && d.next(len(d.chosen) == i.Count-1) {
+		continue
+	}
+	answer := Answer{Lifetime: i.Lifetime}
+	for _, e := range d.chosen {
+		answer.Addresses = append(answer.Addresses, Address{
+			Name:          e.Name,
+			CallerAddress: e.CallerAddress,
+			Incarnation:   e.Incarnation,
+			TicketEpoch:   e.TicketEpoch,
+			FailureDomain: e.FailureDomain,
+		})
+	}
+	return answer
+}
+
+// namable reports whether a member may be in an answer.
+func namable(e *anvilmodel.Member, out []anvilmodel.FailureDomain) bool {
+	switch e.Status {
+	case anvilmodel.MemberAlive, anvilmodel.MemberSuspect:
+	default:
+		return false
+	}
+	return e.Serving && e.Incarnation != 0 && e.CallerAddress.IsValid() && !slices.Contains(out, e.FailureDomain)
+}
