--- a/anvilleaf/dispatcher_test.go
+++ b/anvilleaf/dispatcher_test.go
@@ -93,10 +93,10 @@
 // may be running: after the start, and after the cold share has grown.
 func TestQuietPeriod(t *testing.T) {
 	n := newNode(2, time.Second)
-	for range 2 {
+	for _, connect := range []time.Duration{6 * time.Millisecond, 0} {
 		n.sim.runFor(time.Second)
 		early := n.send(1)[0]
-		if r := n.last[early]; !n.refused(early) || r.RetryAfter != margin {
+		if r := n.last[early]; !n.refused(early) || r.RetryAfter != margin+connect {
 			t.Errorf("call that cannot wait: %+v", r)
 		}
 		n.sim.runFor(margin / 2)
@@ -135,7 +135,12 @@
 // TestQueue guards against a queue in the wrong order, a wrong call displaced,
 // a late refusal of a call that cannot make it, and hedges that crowd out calls.
 func TestQueue(t *testing.T) {
-	n := newWarmNode(2)
+	n := newNode(2, 0)
+	n.adopt(10, false, 0)
+	if id := n.submit(4*time.Millisecond, 1, false); !n.refused(id) {
+		t.Error("call shorter than a new connection takes is not refused")
+	}
+	n = newWarmNode(2)
 	n.sim.service = func() time.Duration { return 50 * time.Millisecond }
 	running := n.send(n.status().Limit)
 	low := n.submit(time.Second, 0, false)
--- a/anvilleaf/submit.go
+++ b/anvilleaf/submit.go
@@ -99,6 +99,9 @@
 		limit = d.config.Share.Cold
 		start = max(d.quietUntil.Sub(d.now), 0)
 	}
+	if d.live == 0 {
+		start += d.config.ConnectTime
+	}
 	free := max(limit-d.inFlight(), 0)
 	if ahead < free || limit == 0 {
 		return start
