--- a/anvilnode/control.go
+++ b/anvilnode/control.go
@@ -30,7 +30,9 @@
 		if held, ok := v.bySlot[m.Slot]; !ok || held.Incarnation < m.Incarnation {
 			v.bySlot[m.Slot] = m
 		}
-		v.byIncarnation[m.Incarnation] = m
+		if m.Incarnation != 0 {
+			v.byIncarnation[m.Incarnation] = m
+		}
 	}
 	return v
 }
@@ -144,8 +146,9 @@
 		Cause:   e.Cause,
 	})
 	if e.Kind == anvilmember.EventSuperseded {
-		// The VM has been replaced: another process has this node's slot.
-		n.goRun(func() { n.Shutdown(n.background, "superseded by a later process") })
+		// The VM has been replaced: another process has this node's slot, so that
+		// new work stops at once.
+		n.goRun(func() { n.leave(n.background, "superseded by a later process", 0) })
 	}
 }
 
--- a/anvilnode/handlers.go
+++ b/anvilnode/handlers.go
@@ -50,10 +50,12 @@
 func (n *Node) serverConfig() anvilserver.Config {
 	return anvilserver.Config{
 		Query:        n.answerQuery,
+		Refuse:       n.refuseTicket,
 		Outcome:      n.outcome,
 		Addresses:    n.addresses,
 		Status:       n.encodeStatus,
 		Ready:        n.readiness,
+		Leaving:      n.leaving.Load,
 		MaxBodyBytes: n.maxBodyBytes,
 		Observe:      n.observeQuery,
 		Metrics:      n.metrics.Handler(),
@@ -71,7 +73,8 @@
 
 func (n *Node) maxBodyBytes() int {
 	if v := n.view.Load(); v != nil {
-		return v.settings.Limits.MaxBodyBytes
+		// A larger body could not be relayed to another node.
+		return min(v.settings.Limits.MaxBodyBytes, anvilpeer.MaxBodyBytes)
 	}
 	return bodyLimitBeforeConfig
 }
--- a/anvilnode/housekeeping.go
+++ b/anvilnode/housekeeping.go
@@ -12,10 +12,12 @@
 const (
 	// housekeepingInterval is the time between two rounds of gauges and checks.
 	housekeepingInterval = 500 * time.Millisecond
-	// relaySilence is how long calls may wait on a relay stream without any
-	// reply, while the member answers probes, before the stream is replaced:
-	// three probe periods.
+	// relaySilence is how long calls may wait on a relay stream that delivers
+	// nothing before the stream is replaced: three probe periods.
 	relaySilence = 3 * time.Second
+	// relaySuspicion is how long that may be before new calls go to the leaf's next
+	// candidate: a member that is alive sends something every 100 ms.
+	relaySuspicion = 500 * time.Millisecond
 )
 
 // runHousekeeping sets the gauges and checks relays and isolation.
@@ -28,6 +30,9 @@
 		isolated := n.members.Isolated(time.Now())
 		n.control.Unlock()
 		n.setIsolated(isolated)
+		if v := n.view.Load(); v != nil {
+			n.outFor(v)
+		}
 		n.setGauges()
 		select {
 		case <-n.background.Done():
--- a/anvilnode/leafrunner.go
+++ b/anvilnode/leafrunner.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"anvilbridge/anvilaudit"
 	"anvilbridge/anvilleaf"
 	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilupstream"
 )
 
 // backupPollFactor slows the polls of candidates that do not dispatch.
@@ -21,40 +23,57 @@
 // leafRunner owns the dispatcher of one leaf and carries out its actions in
 // order.
 type leafRunner struct {
-	node    *Node
-	leaf    anvilmodel.Leaf
-	rank    int
-	poll    time.Duration
-	stop    context.CancelFunc
-	stopped context.Context
-	wake    chan struct{}
+	node *Node
+	leaf anvilmodel.Leaf
+	// upstream holds the connections of this runner only: a later runner of a leaf
+	// at the same address numbers its own.
+	upstream *anvilupstream.Client
+	stop     context.CancelFunc
+	stopped  context.Context
+	wake     chan struct{}
+	// unanswered counts the submitted calls without a reply.
+	unanswered atomic.Int64
+	rank       atomic.Int32
 
 	mu     sync.Mutex
 	events []leafEvent
 	status anvilleaf.Status
-	judged anvilmodel.LeafState
-	known  bool
+	closed bool
 
 	// The fields below belong to the runner's goroutine.
 	seen       bool
 	dispatcher *anvilleaf.Dispatcher
-	replies    map[anvilmodel.CallID]func(anvilmodel.CallReply)
+	calls      map[anvilmodel.CallID]openCall
+	opening    map[int]*opening
 }
 
-func (n *Node) newLeafRunner(leaf anvilmodel.Leaf, rank int, c anvilleaf.Config) *leafRunner {
+// opening is a connection that is being opened. One that the dispatcher gives up
+// counts until the attempt has ended: its result must not be taken for that of the
+// next attempt under the same number.
+type opening struct {
+	cancel  context.CancelFunc
+	givenUp bool
+}
+
+// openCall is a submitted call without a reply.
+type openCall struct {
+	reply   func(anvilmodel.CallReply)
+	started bool
+}
+
+func (n *Node) newLeafRunner(leaf anvilmodel.Leaf, c anvilleaf.Config) *leafRunner {
 	stopped, stop := context.WithCancel(n.background)
 	r := &leafRunner{
-		node:    n,
-		leaf:    leaf,
-		rank:    rank,
-		poll:    n.config.PollInterval,
+		node: n,
+		leaf: leaf,
+		upstream: anvilupstream.New(anvilupstream.Config{
+			Dial: n.config.DialUpstream,
+		}),
 		stop:    stop,
 		stopped: stopped,
 		wake:    make(chan struct{}, 1),
-		replies: make(map[anvilmodel.CallID]func(anvilmodel.CallReply)),
-	}
-	if rank > 0 {
-		r.poll *= backupPollFactor
+		calls:   make(map[anvilmodel.CallID]openCall),
+		opening: make(map[int]*opening),
 	}
 	c.Audit = r.audit
 	r.dispatcher = anvilleaf.New(c, time.Now())
@@ -63,28 +82,42 @@
 	return r
 }
 
-// post hands an event to the runner.
-func (r *leafRunner) post(e leafEvent) {
+// post hands an event to the runner. It is false once the runner has ended.
+func (r *leafRunner) post(e leafEvent) bool {
 	r.mu.Lock()
+	if r.closed {
+		r.mu.Unlock()
+		return false
+	}
 	r.events = append(r.events, e)
 	r.mu.Unlock()
 	select {
 	case r.wake <- struct{}{}:
 	default:
 	}
+	return true
 }
 
-// submit hands over a call; reply is called once.
+// submit hands over a call; reply is called once, possibly before submit returns.
 func (r *leafRunner) submit(call anvilmodel.Call, reply func(anvilmodel.CallReply)) {
 	posted := time.Now()
-	r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
-		if _, ok := r.replies[call.ID]; ok {
+	r.unanswered.Add(1)
+	taken := r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
+		if _, ok := r.calls[call.ID]; ok {
+			// The first copy gets the reply.
+			r.unanswered.Add(-1)
 			return actions
 		}
-		r.replies[call.ID] = reply
+		r.calls[call.ID] = openCall{
+			reply: reply,
+		}
 		call.Timeout -= now.Sub(posted)
 		return d.Submit(call, now, actions)
 	})
+	if !taken {
+		r.unanswered.Add(-1)
+		reply(notRun(call))
+	}
 }
 
 func (r *leafRunner) cancel(id anvilmodel.CallID) {
@@ -94,6 +127,7 @@
 }
 
 func (r *leafRunner) run() {
+	defer r.upstream.Shutdown()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var events []leafEvent
@@ -101,7 +135,7 @@
 	for {
 		select {
 		case <-r.stopped.Done():
-			r.refuseAll()
+			r.end()
 			return
 		case <-r.wake:
 		case <-timer.C:
@@ -110,28 +144,29 @@
 		events, r.events = r.events, events[:0]
 		r.mu.Unlock()
 		now := time.Now()
-		actions = actions[:0]
-		for i, e := range events {
-			actions = e(r.dispatcher, now, actions)
-			events[i] = nil
-		}
+		actions = r.handle(events, now, actions[:0])
 		actions = r.dispatcher.Tick(now, actions)
-		for _, a := range actions {
-			r.carryOut(a)
+		for i := range actions {
+			r.carryOut(&actions[i])
 		}
 		r.publish(now)
 		timer.Reset(max(time.Until(r.dispatcher.Next()), 0))
 	}
 }
 
+func (r *leafRunner) handle(events []leafEvent, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
+	for i, e := range events {
+		actions = e(r.dispatcher, now, actions)
+		events[i] = nil
+	}
+	return actions
+}
+
 // publish makes the dispatcher's state available to other goroutines.
 func (r *leafRunner) publish(now time.Time) {
 	status := r.dispatcher.Status(now)
-	judged, known := r.dispatcher.LeafState(now)
 	r.mu.Lock()
 	r.status = status
-	r.judged = judged
-	r.known = known
 	r.mu.Unlock()
 }
 
@@ -141,106 +176,160 @@
 	return r.status
 }
 
-// refuseAll answers the calls that are left when the node stops. Whether they
-// ran is not known.
-func (r *leafRunner) refuseAll() {
-	for id, reply := range r.replies {
-		reply(anvilmodel.CallReply{
+// end answers the calls that are left when the runner stops. Those that were not
+// started have certainly not run.
+func (r *leafRunner) end() {
+	r.mu.Lock()
+	events := r.events
+	r.events = nil
+	r.closed = true
+	r.mu.Unlock()
+	for _, a := range r.handle(events, time.Now(), nil) {
+		if a.Kind == anvilleaf.ActionReply {
+			r.reply(a.ID, a.Reply)
+		}
+	}
+	for id, c := range r.calls {
+		reply := anvilmodel.CallReply{
 			ID:     id,
 			Leaf:   r.leaf.Name,
 			Result: anvilmodel.CallBroken,
-		})
+			Ran:    anvilmodel.RunStateNotRun,
+		}
+		if c.started {
+			reply.Ran = anvilmodel.RunStateUnknown
+		}
+		r.reply(id, reply)
+	}
+}
+
+func (r *leafRunner) reply(id anvilmodel.CallID, reply anvilmodel.CallReply) {
+	c, ok := r.calls[id]
+	if !ok {
+		return
 	}
+	delete(r.calls, id)
+	c.reply(reply)
+	// The reply is handed on before the call counts as over, so that a node that
+	// shuts down does not stop in between.
+	r.unanswered.Add(-1)
 }
 
-func (r *leafRunner) carryOut(a anvilleaf.Action) {
+func (r *leafRunner) carryOut(a *anvilleaf.Action) {
 	switch a.Kind {
 	case anvilleaf.ActionStart:
-		r.node.goRun(func() { r.call(a) })
-	case anvilleaf.ActionReply:
-		reply := r.replies[a.ID]
-		delete(r.replies, a.ID)
-		if reply != nil {
-			reply(a.Reply)
+		if c, ok := r.calls[a.ID]; ok {
+			c.started = true
+			r.calls[a.ID] = c
 		}
+		connection, call := a.Connection, a.Call
+		r.node.goRun(func() { r.call(connection, call) })
+	case anvilleaf.ActionReply:
+		r.reply(a.ID, a.Reply)
 	case anvilleaf.ActionCancel:
+		id := a.ID
 		r.node.goRun(func() {
 			// The leaf answers the call itself; a lost cancellation only costs it work.
-			_ = r.node.upstream.Cancel(r.stopped, r.leaf.Address, a.ID)
+			_ = r.upstream.Cancel(r.stopped, r.leaf.Address, id)
 		})
 	case anvilleaf.ActionOpen:
-		r.node.goRun(func() { r.open(a.Connection) })
+		r.open(a.Connection)
 	case anvilleaf.ActionClose:
-		r.node.upstream.Close(r.leaf.Address, a.Connection)
+		r.close(a.Connection)
+	}
+}
+
+// open connects a connection and reads the leaf's incarnation over it, so that no
+// call meets a process that restarted unnoticed.
+func (r *leafRunner) open(connection int) {
+	ctx, cancel := context.WithCancel(r.stopped)
+	o := &opening{
+		cancel: cancel,
+	}
+	r.opening[connection] = o
+	r.node.goRun(func() {
+		defer cancel()
+		state, err := r.upstream.Open(ctx, r.leaf.Address, connection)
 		r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
-			return d.Closed(a.Connection, now, actions)
+			delete(r.opening, connection)
+			if o.givenUp {
+				r.upstream.Close(r.leaf.Address, connection)
+			}
+			if o.givenUp || err != nil {
+				return d.Closed(connection, now, actions)
+			}
+			return d.Opened(connection, state.Incarnation, now, actions)
 		})
+	})
+}
+
+func (r *leafRunner) close(connection int) {
+	if o := r.opening[connection]; o != nil {
+		o.givenUp = true
+		o.cancel()
+		return
 	}
+	r.upstream.Close(r.leaf.Address, connection)
+	r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
+		return d.Closed(connection, now, actions)
+	})
 }
 
-func (r *leafRunner) call(a anvilleaf.Action) {
-	outcome := r.node.upstream.Call(r.node.background, r.leaf.Address, a.Connection, a.Call)
+func (r *leafRunner) call(connection int, call anvilmodel.Call) {
+	outcome := r.upstream.Call(r.node.background, r.leaf.Address, connection, call)
 	kind := "primary"
 	switch {
-	case a.Call.Hedge:
+	case call.Hedge:
 		kind = "hedge"
-	case a.Call.Retry:
+	case call.Retry:
 		kind = "retry"
 	}
-	r.node.metrics.Add(anvilmetric.LeafCalls, 1, string(a.Call.Service), kind, outcome.Reply.Result.String())
-	r.node.metrics.Observe(anvilmetric.LeafCallDuration, outcome.Elapsed, string(a.Call.Service))
+	r.node.metrics.Add(anvilmetric.LeafCalls, 1, string(call.Service), kind, outcome.Reply.Result.String())
+	r.node.metrics.Observe(anvilmetric.LeafCallDuration, outcome.Elapsed, string(call.Service))
 	r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
 		return d.Done(anvilleaf.Outcome{
 			Reply:      outcome.Reply,
-			Connection: a.Connection,
+			Connection: connection,
 			Lost:       outcome.Lost,
 			Written:    outcome.BytesWritten,
 		}, now, actions)
 	})
 }
 
-// open connects a connection and reads the leaf's incarnation over it, so that
-// no call meets a process that restarted unnoticed.
-func (r *leafRunner) open(connection int) {
-	state, err := r.node.upstream.Open(r.stopped, r.leaf.Address, connection)
-	r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
-		if err != nil {
-			return d.Closed(connection, now, actions)
-		}
-		return d.Opened(connection, state.Incarnation, now, actions)
-	})
-}
-
 // runPolls reads the leaf's state endpoint.
 func (r *leafRunner) runPolls() {
-	for r.stopped.Err() == nil {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-r.stopped.Done():
+			return
+		}
 		ctx, cancel := context.WithTimeout(r.stopped, peerTimeout)
-		state, err := r.node.upstream.State(ctx, r.leaf.Address)
+		state, err := r.upstream.State(ctx, r.leaf.Address)
 		cancel()
 		if err == nil {
 			state.Leaf = r.leaf.Name
 			r.observe(state)
 		}
-		timer := time.NewTimer(r.poll)
-		select {
-		case <-timer.C:
-		case <-r.stopped.Done():
+		poll := r.node.config.PollInterval
+		if r.rank.Load() > 0 {
+			poll *= backupPollFactor
 		}
-		timer.Stop()
+		timer.Reset(poll)
 	}
 }
 
+// observe takes a state that was read from the leaf, and passes it on together
+// with the dispatcher's judgement.
 func (r *leafRunner) observe(state anvilmodel.LeafState) {
 	r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
-		return d.ObserveState(state, now, actions)
+		actions = d.ObserveState(state, now, actions)
+		judged, known := d.LeafState(now)
+		r.node.observeLeaf(state, judged, known, now)
+		return actions
 	})
-	r.mu.Lock()
-	if r.known && r.judged.Incarnation == state.Incarnation {
-		state.Judged = true
-		state.Cold = state.Cold || r.judged.Cold
-	}
-	r.mu.Unlock()
-	r.node.observeLeaf(state)
 }
 
 // adopt takes another candidate's judgement of the leaf.
--- a/anvilnode/leafstates.go
+++ b/anvilnode/leafstates.go
@@ -21,18 +21,25 @@
 	loadStep = 0.1
 )
 
-// stateStore holds what the node knows of the leafs that it polls, with a
-// version that grows with every change worth passing on.
+// stateStore holds what the node knows of the leafs that it polls, with a version
+// that grows with every change worth passing on.
 type stateStore struct {
 	mu      sync.Mutex
 	version uint64
 	entries map[anvilmodel.LeafName]storedState
 }
 
+// storedState keeps what the leaf said apart from this node's judgement, because
+// each has its own age: a state that was just read says nothing about when the
+// leaf was last called.
 type storedState struct {
-	state   anvilmodel.LeafState
-	seen    time.Time
-	version uint64
+	said        anvilmodel.LeafState
+	saidAt      time.Time
+	saidVersion uint64
+
+	judged        anvilmodel.LeafState
+	judgedAt      time.Time
+	judgedVersion uint64
 }
 
 func newStateStore() *stateStore {
@@ -41,22 +48,42 @@
 	}
 }
 
-func (s *stateStore) set(state anvilmodel.LeafState, now time.Time) {
+// set takes what a leaf said now, and the dispatcher's judgement if it has one.
+func (s *stateStore) set(said, judged anvilmodel.LeafState, known bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held, ok := s.entries[state.Leaf]
-	version := held.version
-	if !ok || !sameState(held.state, state) {
-		s.version++
-		version = s.version
+	held, ok := s.entries[said.Leaf]
+	next := held
+	next.said = said
+	next.saidAt = now
+	if ok && sameState(held.said, said) {
+		next.said.Load = held.said.Load
 	} else {
-		state.Load = held.state.Load
+		s.version++
+		next.saidVersion = s.version
 	}
-	s.entries[state.Leaf] = storedState{
-		state:   state,
-		seen:    now,
-		version: version,
+	next.judged = anvilmodel.LeafState{}
+	if known {
+		next.judged = anvilmodel.LeafState{
+			Leaf:        said.Leaf,
+			Incarnation: judged.Incarnation,
+			Cold:        judged.Cold,
+			Judged:      true,
+		}
+		next.judgedAt = now.Add(-judged.Age)
 	}
+	if known && !sameState(held.judged, next.judged) {
+		s.version++
+		next.judgedVersion = s.version
+	}
+	s.entries[said.Leaf] = next
+}
+
+// drop forgets a leaf that this node no longer polls.
+func (s *stateStore) drop(leaf anvilmodel.LeafName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.entries, leaf)
 }
 
 func sameState(s, t anvilmodel.LeafState) bool {
@@ -65,16 +92,22 @@
 		slices.Equal(s.Holdings, t.Holdings)
 }
 
-// after returns the states that changed after a version, and the version now.
+// after returns what changed after a version, and the version now. What a leaf
+// said and what this node judges of it are separate entries.
 func (s *stateStore) after(version uint64, now time.Time) ([]anvilmodel.LeafState, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changed := []anvilmodel.LeafState{}
+	add := func(state anvilmodel.LeafState, at time.Time) {
+		state.Age = max(now.Sub(at), 0)
+		changed = append(changed, state)
+	}
 	for _, entry := range s.entries {
-		if entry.version > version {
-			state := entry.state
-			state.Age += now.Sub(entry.seen)
-			changed = append(changed, state)
+		if entry.saidVersion > version {
+			add(entry.said, entry.saidAt)
+		}
+		if entry.judged.Judged && entry.judgedVersion > version {
+			add(entry.judged, entry.judgedAt)
 		}
 	}
 	return changed, s.version
@@ -87,13 +120,21 @@
 	}
 }
 
-// observeLeaf takes a state that this node read from a leaf.
-func (n *Node) observeLeaf(state anvilmodel.LeafState) {
-	n.states.set(state, time.Now())
-	n.observeOrigin(state)
+// observeLeaf takes a state that this node read from a leaf. Queries avoid a leaf
+// that either the leaf itself or the dispatcher says to be cold.
+func (n *Node) observeLeaf(said, judged anvilmodel.LeafState, known bool, now time.Time) {
+	if known && judged.Incarnation == said.Incarnation {
+		said.Cold = said.Cold || judged.Cold
+	}
+	n.states.set(said, judged, known, now)
+	n.observeOrigin(said)
 }
 
+// observeOrigin hands what a leaf said to the query core.
 func (n *Node) observeOrigin(state anvilmodel.LeafState) {
+	if state.Judged {
+		return
+	}
 	n.originLock.Lock()
 	defer n.originLock.Unlock()
 	if n.origin != nil {
@@ -101,10 +142,21 @@
 	}
 }
 
-// runStateExchange asks the other members for the states of their leafs.
+// runStateExchange asks the other members for the states of their leafs. After a
+// change of the configuration it asks for all of them again: what was said of a
+// leaf that this node did not know is lost.
 func (n *Node) runStateExchange() {
+	select {
+	case <-n.announced:
+	case <-n.background.Done():
+	}
 	versions := make(map[anvilmodel.Incarnation]uint64)
+	applied := n.applications.Load()
 	for n.background.Err() == nil {
+		if a := n.applications.Load(); a != applied {
+			applied = a
+			clear(versions)
+		}
 		members := n.memberView.Load()
 		for _, m := range members.all {
 			if m.Name == n.config.Name || !usable(m) {
--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"anvilbridge/anvilaudit"
@@ -26,7 +27,6 @@
 	"anvilbridge/anvilrevision"
 	"anvilbridge/anvilserver"
 	"anvilbridge/anvilticket"
-	"anvilbridge/anvilupstream"
 )
 
 // Errors is the namespace of the errors of this package.
@@ -45,6 +45,10 @@
 	config  Config
 	metrics *anvilmetric.Metrics
 	started time.Time
+	// deliver is handleReply as a value, made once.
+	deliver    func(anvilmodel.CallReply)
+	server     *anvilserver.Server
+	peerServer *anvilpeer.Server
 
 	auditLock sync.Mutex
 	audit     *anvilaudit.Ring
@@ -64,12 +68,18 @@
 	originLock sync.Mutex
 	origin     *anvilquery.Origin
 	runs       map[*anvilquery.Query]*queryRun
+	// actions is memory for what the core returns.
+	actions []anvilquery.Action
 
 	ticketLock sync.Mutex
 	tickets    *anvilticket.Register
 
 	runnerLock sync.RWMutex
 	runners    map[anvilmodel.LeafName]*leafRunner
+	// retired holds the runners that finish their last calls.
+	retired map[*leafRunner]struct{}
+	// applications counts the revisions put into force.
+	applications atomic.Uint64
 
 	relayLock sync.Mutex
 	relays    map[netip.AddrPort]*anvilpeer.RelayClient
@@ -80,19 +90,31 @@
 
 	peers    *anvilpeer.Client
 	platform *anvilplatform.Client
-	upstream *anvilupstream.Client
 
 	// announced is closed when the incarnation is final.
 	announced     chan struct{}
 	announcedOnce sync.Once
-	leaving       atomic.Bool
-	refusing      atomic.Bool
-	stopped       chan struct{}
-	stopOnce      sync.Once
-	logOnce       sync.Once
-	tasks         sync.WaitGroup
-	background    context.Context
-	cancel        context.CancelFunc
+	// ready is set once the node may serve.
+	ready atomic.Bool
+	// outSince is when the node's failure domain was found taken out, as the time
+	// since started in nanoseconds; 0 while it is in service.
+	outSince atomic.Int64
+	leaving  atomic.Bool
+	refusing atomic.Bool
+	stopped  chan struct{}
+	stopOnce sync.Once
+	logOnce  sync.Once
+	// cut is how much was cut off when the node stopped.
+	cut atomic.Int64
+	// failure receives the error of a server that ended by itself.
+	failure    chan error
+	background context.Context
+	cancel     context.CancelFunc
+
+	// taskLock orders the begin of a request's task and the end of the node.
+	taskLock sync.Mutex
+	closing  bool
+	tasks    sync.WaitGroup
 }
 
 // New checks the settings and returns a node that is not yet running. It
@@ -120,14 +142,17 @@
 		runs:       make(map[*anvilquery.Query]*queryRun),
 		runners:    make(map[anvilmodel.LeafName]*leafRunner),
 		relays:     make(map[netip.AddrPort]*anvilpeer.RelayClient),
+		retired:    make(map[*leafRunner]struct{}),
 		routes:     make(map[anvilmodel.CallID]callRoute),
 		states:     newStateStore(),
 		admission:  newAdmission(c.MaxQueries),
 		announced:  make(chan struct{}),
 		stopped:    make(chan struct{}),
+		failure:    make(chan error, 2),
 		background: background,
 		cancel:     cancel,
 	}
+	n.deliver = n.handleReply
 	n.metrics = anvilmetric.New(anvilmetric.Config{
 		OnError: func(err error) {
 			c.Log.Error().Str("event", "metric-failed").Err(err).Send()
@@ -143,7 +168,7 @@
 			FailureDomain: c.FailureDomain,
 			CallerAddress: c.CallerAddress,
 			PeerAddress:   c.PeerAddress,
-			Incarnation:   anvilmodel.Incarnation(now.UnixMilli()),
+			Incarnation:   firstIncarnation(c.Name, now),
 		},
 		Random: mathrand.New(mathrand.NewPCG(seed, 2)),
 	}, now)
@@ -161,12 +186,28 @@
 		ConfigAddress: c.ConfigService,
 		ListAddress:   c.VMList,
 	})
-	n.upstream = anvilupstream.New(anvilupstream.Config{
-		Dial: c.DialUpstream,
-	})
+	n.server = anvilserver.New(n.serverConfig())
+	n.server.Use(n.counted)
+	var err error
+	if n.peerServer, err = anvilpeer.NewServer(n.peerHandlers()); err != nil {
+		n.close()
+		return nil, err
+	}
 	return n, nil
 }
 
+// nameBits is the number of low bits of an incarnation that come from the name.
+const nameBits = 12
+
+// firstIncarnation numbers a process by its start in milliseconds, followed by
+// bits of its name. A ticket names nothing but the incarnation, so two nodes that
+// start in the same millisecond must not have the same one. The number stays below
+// 2^53 until 2039, so that JSON readers with floating-point numbers keep it whole.
+func firstIncarnation(name anvilmodel.VMName, now time.Time) anvilmodel.Incarnation {
+	own := xxhash.Sum64String(string(name)) & (1<<nameBits - 1)
+	return anvilmodel.Incarnation(uint64(now.UnixMilli())<<nameBits | own)
+}
+
 // systemSeed returns a seed that differs between processes.
 func systemSeed() uint64 {
 	var seed [8]byte
@@ -176,8 +217,10 @@
 }
 
 // Run serves until Shutdown has finished or the context ends; the latter cuts
-// off what runs. It returns ListenFailed.
+// off what runs. It returns ListenFailed, also when a listener fails later. A node
+// runs once.
 func (n *Node) Run(ctx context.Context) error {
+	defer n.close()
 	callers, err := listen(n.config.CallerListener, n.config.CallerAddress)
 	if err != nil {
 		return err
@@ -187,11 +230,6 @@
 		_ = callers.Close()
 		return err
 	}
-	peerServer, err := anvilpeer.NewServer(n.peerHandlers())
-	if err != nil {
-		return err
-	}
-	server := anvilserver.New(n.serverConfig())
 	n.config.Log.Info().
 		Str("event", "node-started").
 		Str("name", string(n.config.Name)).
@@ -200,12 +238,8 @@
 		Stringer("caller-address", n.config.CallerAddress).
 		Stringer("peer-address", n.config.PeerAddress).
 		Send()
-	n.goRun(func() { _ = peerServer.Serve(n.background, peers) })
-	n.goRun(func() {
-		if err := server.Serve(callers); !errors.Is(err, http.ErrServerClosed) {
-			n.config.Log.Error().Str("event", "server-failed").Err(err).Send()
-		}
-	})
+	n.goRun(func() { n.servePeers(peers) })
+	n.goRun(func() { n.serveCallers(callers) })
 	n.goRun(n.runMembership)
 	n.goRun(n.runRevisions)
 	n.goRun(n.runWatch)
@@ -215,31 +249,62 @@
 	select {
 	case <-ctx.Done():
 		n.logStopped("ended without waiting for what runs")
-		n.stop()
+	case err = <-n.failure:
+		n.config.Log.Error().Str("event", "listener-failed").Err(err).Send()
+		n.logStopped("a listener failed")
 	case <-n.stopped:
 	}
-	_ = server.Close()
-	n.close()
-	return nil
+	n.stop()
+	return err
+}
+
+func (n *Node) serveCallers(l net.Listener) {
+	if err := n.server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !n.leaving.Load() {
+		n.failure <- ListenFailed.Wrap(err, "serving callers on %s", l.Addr())
+	}
+}
+
+func (n *Node) servePeers(l net.Listener) {
+	if err := n.peerServer.Serve(n.background, l); err != nil {
+		n.failure <- ListenFailed.Wrap(err, "serving nodes on %s", l.Addr())
+	}
 }
 
 // close ends every task of the node and waits for them.
 func (n *Node) close() {
+	n.taskLock.Lock()
+	n.closing = true
+	n.taskLock.Unlock()
+	_ = n.server.Close()
 	n.cancel()
 	n.closeRelays()
-	n.closeRunners()
 	n.tasks.Wait()
-	n.upstream.Shutdown()
 	n.platform.Shutdown()
 	_ = n.peers.Close()
 	_ = n.metrics.Close()
 }
 
+// counted makes every request a task of the node, so that none outlives it.
+func (n *Node) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.taskLock.Lock()
+		if n.closing {
+			n.taskLock.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		n.tasks.Add(1)
+		n.taskLock.Unlock()
+		defer n.tasks.Done()
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (n *Node) stop() {
 	n.stopOnce.Do(func() { close(n.stopped) })
 }
 
-// goRun runs a task that close waits for.
+// goRun runs a task that close waits for. Only other tasks may call it once Run
+// has begun.
 func (n *Node) goRun(task func()) {
 	n.tasks.Add(1)
 	go func() {
--- a/anvilnode/query.go
+++ b/anvilnode/query.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
-	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilquery"
 	"anvilbridge/anvilwire"
@@ -15,14 +13,6 @@
 // notReadyRetryAfter is told to callers of a node that may not serve yet.
 const notReadyRetryAfter = time.Second
 
-// queryRun is the node's side of one running query.
-type queryRun struct {
-	finished chan anvilquery.Action
-	// rearm wakes the goroutine of the query when Next has become earlier.
-	rearm chan struct{}
-	armed time.Time
-}
-
 // becomeAnnounced creates what depends on the final incarnation.
 func (n *Node) becomeAnnounced() {
 	incarnation := n.memberView.Load().self.Incarnation
@@ -34,7 +24,10 @@
 		Incarnation: incarnation,
 	})
 	n.originLock.Unlock()
-	if v := n.view.Load(); v != nil {
+	// A revision that is put into force meanwhile may have found no origin, or be
+	// older than the one applied here.
+	for v := (*view)(nil); v != n.view.Load(); {
+		v = n.view.Load()
 		n.applyOrigin(v)
 	}
 	n.states.each(n.observeOrigin)
@@ -43,22 +36,29 @@
 
 // answerQuery answers a caller's query.
 func (n *Node) answerQuery(ctx context.Context, q anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal) {
-	v, refusal := n.serving(q.ID)
-	if refusal != nil {
-		return nil, refusal
-	}
-	request, refusal := validate(v, q)
+	v, request, refusal := n.admit(q)
 	if refusal != nil {
-		return nil, refusal
-	}
-	if refusal := n.admission.enter(q.ID, request.Class.Mode); refusal != nil {
-		return nil, refusal
+		return nil, n.refuseTicket(q.Ticket, refusal)
 	}
 	if request.Class.NonIdempotent {
-		return n.runTicket(ctx, request)
+		return n.runTicket(ctx, v, request)
 	}
 	defer n.admission.leave()
-	return n.runQuery(ctx, request)
+	return n.runQuery(ctx, v, request)
+}
+
+// admit returns the request of a query and the view that it runs under, or why
+// the node refuses it. An admitted query has to leave the admission.
+func (n *Node) admit(q anvilwire.Query) (*view, anvilmodel.Request, *anvilmodel.Refusal) {
+	v, refusal := n.serving(q.ID)
+	if refusal != nil {
+		return nil, anvilmodel.Request{}, refusal
+	}
+	request, refusal := validate(v, q)
+	if refusal == nil {
+		refusal = n.admission.enter(q.ID, request.Class.Mode)
+	}
+	return v, request, refusal
 }
 
 // serving returns the view that a query runs under, or why the node refuses.
@@ -68,21 +68,23 @@
 		Ran:        anvilmodel.RunStateNotRun,
 		RetryAfter: notReadyRetryAfter,
 	}
-	v := n.view.Load()
-	switch {
-	case n.refusing.Load():
+	if n.refusing.Load() {
 		refusal.Reason = anvilmodel.ReasonLeaving
 		refusal.Detail = "the node is shutting down; use another address"
-	case v == nil || n.notReady() != "":
+		return nil, refusal
+	}
+	if reason := n.notReady(); reason != "" {
 		refusal.Reason = anvilmodel.ReasonNotReady
-		refusal.Detail = n.notReady()
-	case v.isOut(n.config.FailureDomain) && time.Since(v.applied) > v.settings.Policy.AddressLifetime+addressGrace:
+		refusal.Detail = reason + "; use another address"
+		return nil, refusal
+	}
+	v := n.view.Load()
+	if n.outFor(v) > v.settings.Policy.AddressLifetime+addressGrace {
 		refusal.Reason = anvilmodel.ReasonDomainOut
 		refusal.Detail = fmt.Sprintf("failure domain %s is taken out; use another address", n.config.FailureDomain)
-	default:
-		return v, nil
+		return nil, refusal
 	}
-	return nil, refusal
+	return v, nil
 }
 
 // notReady returns why the node may not serve yet, or "".
@@ -90,190 +92,35 @@
 	if n.incarnation() == 0 {
 		return "the node has not announced its incarnation yet"
 	}
+	if n.ready.Load() {
+		return ""
+	}
 	n.control.Lock()
 	ready := n.keeper.Ready()
 	n.control.Unlock()
-	if !ready {
+	switch {
+	case !ready:
 		return "the node has no configuration that it may serve yet"
+	case n.view.Load() == nil:
+		return "the node is putting its first configuration into force"
 	}
+	// A node that is ready stays so. Queries do not wait for the control lock.
+	n.ready.Store(true)
 	return ""
 }
 
-// validate checks a query against the configuration.
-func validate(v *view, q anvilwire.Query) (anvilmodel.Request, *anvilmodel.Refusal) {
-	refuse := func(reason anvilmodel.Reason, detail, accepted string) (anvilmodel.Request, *anvilmodel.Refusal) {
-		return anvilmodel.Request{}, &anvilmodel.Refusal{
-			RequestID: q.ID,
-			Reason:    reason,
-			Ran:       anvilmodel.RunStateNotRun,
-			Detail:    detail,
-			Accepted:  accepted,
-		}
-	}
-	if _, ok := v.settings.Service(q.Service); !ok {
-		return refuse(anvilmodel.ReasonUnknownService, fmt.Sprintf("there is no service %q", q.Service), serviceNames(v))
-	}
-	class, ok := v.settings.Class(q.Class)
-	if !ok || !class.Serves(q.Service) {
-		return refuse(anvilmodel.ReasonUnknownClass,
-			fmt.Sprintf("there is no class %q for service %q", q.Class, q.Service), classNames(v, q.Service))
-	}
-	if q.Timeout <= class.Class.ReturnReserve {
-		return refuse(anvilmodel.ReasonBadTimeout,
-			fmt.Sprintf("%s is not longer than the %s kept back for the way to the caller", q.Timeout, class.Class.ReturnReserve),
-			fmt.Sprintf("more than %s, at most %s", class.Class.ReturnReserve, class.Class.Timeout))
-	}
-	if q.Timeout > class.Class.Timeout {
-		return refuse(anvilmodel.ReasonBadTimeout,
-			fmt.Sprintf("%s is longer than class %q allows", q.Timeout, q.Class),
-			fmt.Sprintf("at most %s", class.Class.Timeout))
-	}
-	if class.Class.NonIdempotent && q.Ticket.IsZero() {
-		return refuse(anvilmodel.ReasonBadTicket,
-			fmt.Sprintf("class %q needs a ticket", q.Class),
-			anvilwire.HeaderTicket+": <incarnation>.<epoch>.<32 hex digits>")
-	}
-	return anvilmodel.Request{
-		ID:      q.ID,
-		Service: q.Service,
-		Class:   class.Class,
-		Timeout: q.Timeout,
-		Ticket:  q.Ticket,
-		Key:     q.Key,
-		Body:    q.Body,
-	}, nil
-}
-
-func serviceNames(v *view) string {
-	names := make([]string, 0, len(v.settings.Services))
-	for _, s := range v.settings.Services {
-		names = append(names, string(s.Name))
-	}
-	return "one of " + strings.Join(names, ", ")
-}
-
-func classNames(v *view, service anvilmodel.ServiceName) string {
-	names := []string{}
-	for _, c := range v.settings.Classes {
-		if c.Serves(service) {
-			names = append(names, string(c.Class.Name))
+// outFor returns for how long this node's failure domain has been taken out, 0 if
+// it is in service. A later revision that leaves it out does not begin anew.
+func (n *Node) outFor(v *view) time.Duration {
+	if !v.isOut(n.config.FailureDomain) {
+		if n.outSince.Load() != 0 {
+			n.outSince.Store(0)
 		}
+		return 0
 	}
-	return "one of " + strings.Join(names, ", ")
-}
-
-// runQuery runs a request to its end. It is abandoned when the context ends,
-// which means that the caller has gone.
-func (n *Node) runQuery(ctx context.Context, request anvilmodel.Request) (*anvilmodel.Answer, *anvilmodel.Refusal) {
-	run := &queryRun{
-		finished: make(chan anvilquery.Action, 1),
-		rearm:    make(chan struct{}, 1),
-	}
-	n.originLock.Lock()
-	query, actions := n.origin.Start(request, time.Now(), nil)
-	n.runs[query] = run
-	run.armed = query.Next()
-	n.originLock.Unlock()
-	n.carryOutQuery(actions)
-	finish := n.awaitQuery(ctx, query, run)
-	n.originLock.Lock()
-	delete(n.runs, query)
-	query.Release()
-	n.originLock.Unlock()
-	return finish.Answer, finish.Refusal
-}
-
-func (n *Node) awaitQuery(ctx context.Context, query *anvilquery.Query, run *queryRun) anvilquery.Action {
-	timer := time.NewTimer(time.Until(run.armed))
-	defer timer.Stop()
-	for {
-		select {
-		case finish := <-run.finished:
-			return finish
-		case <-timer.C:
-			n.tickQuery(query, run)
-			timer.Reset(n.untilArmed(run))
-		case <-run.rearm:
-			timer.Reset(n.untilArmed(run))
-		case <-ctx.Done():
-			return n.abandonQuery(query, run)
-		}
-	}
-}
-
-func (n *Node) tickQuery(query *anvilquery.Query, run *queryRun) {
-	n.originLock.Lock()
-	actions := query.Tick(time.Now(), nil)
-	if !query.Done() {
-		run.armed = query.Next()
-	}
-	n.originLock.Unlock()
-	n.carryOutQuery(actions)
-}
-
-func (n *Node) untilArmed(run *queryRun) time.Duration {
-	n.originLock.Lock()
-	defer n.originLock.Unlock()
-	return max(time.Until(run.armed), 0)
-}
-
-// abandonQuery cancels the calls of a query whose caller has gone. Nobody
-// receives the refusal.
-func (n *Node) abandonQuery(query *anvilquery.Query, run *queryRun) anvilquery.Action {
-	n.originLock.Lock()
-	actions := query.Abandon(time.Now(), nil)
-	n.originLock.Unlock()
-	n.carryOutQuery(actions)
-	select {
-	case finish := <-run.finished:
-		return finish
-	default:
-	}
-	return anvilquery.Action{
-		Refusal: &anvilmodel.Refusal{
-			RequestID: query.RequestID(),
-			Reason:    anvilmodel.ReasonDeadline,
-			Ran:       anvilmodel.RunStateUnknown,
-			Detail:    "the caller closed the connection",
-		},
-	}
-}
-
-// handleReply hands the reply of a leaf call to its query.
-func (n *Node) handleReply(reply anvilmodel.CallReply) {
-	n.forget(reply.ID)
-	n.originLock.Lock()
-	query, actions := n.origin.Handle(reply, time.Now(), nil)
-	if run := n.runs[query]; run != nil && !query.Done() {
-		if next := query.Next(); next.Before(run.armed) {
-			run.armed = next
-			select {
-			case run.rearm <- struct{}{}:
-			default:
-			}
-		}
-	}
-	n.originLock.Unlock()
-	if query == nil {
-		n.metrics.Add(anvilmetric.RepliesDropped, 1)
-	}
-	n.carryOutQuery(actions)
-}
-
-func (n *Node) carryOutQuery(actions []anvilquery.Action) {
-	for _, a := range actions {
-		switch a.Kind {
-		case anvilquery.ActionCall:
-			n.dispatch(a.Call)
-		case anvilquery.ActionCancel:
-			n.cancelCall(a.Call.ID)
-		case anvilquery.ActionFinish:
-			n.originLock.Lock()
-			run := n.runs[a.Query]
-			n.originLock.Unlock()
-			if run != nil {
-				run.finished <- a
-			}
-		}
+	now := int64(time.Since(n.started))
+	if n.outSince.CompareAndSwap(0, now) {
+		return 0
 	}
+	return time.Duration(now - n.outSince.Load())
 }
--- a/anvilnode/route.go
+++ b/anvilnode/route.go
@@ -16,18 +16,21 @@
 }
 
 // dispatch hands a call to the first usable candidate of its leaf: to a
-// dispatcher of this node or to another node.
-func (n *Node) dispatch(call anvilmodel.Call) {
-	v := n.view.Load()
+// dispatcher of this node, or to another node. It returns the relay that has to be
+// flushed, if any. A candidate whose stream is silent is used only if there is no
+// other: its calls would be lost until the stream is replaced.
+func (n *Node) dispatch(v *view, call anvilmodel.Call) *anvilpeer.RelayClient {
 	members := n.memberView.Load()
+	var silent *anvilpeer.RelayClient
+	var silentMember anvilmodel.Incarnation
 	for _, candidate := range v.table.Candidates(call.Leaf) {
 		if candidate.Slot == n.config.Slot {
 			if r := n.runner(call.Leaf); r != nil {
 				n.remember(call.ID, callRoute{
 					runner: r,
 				})
-				r.submit(call, n.handleReply)
-				return
+				r.submit(call, n.deliver)
+				return nil
 			}
 			continue
 		}
@@ -36,20 +39,39 @@
 			continue
 		}
 		relay := n.relay(m.PeerAddress)
-		n.remember(call.ID, callRoute{
-			relay:      relay,
-			dispatcher: m.Incarnation,
-		})
-		n.metrics.Add(anvilmetric.RelayedCalls, 1, "sent")
-		relay.Send(m.Incarnation, call)
-		return
+		switch {
+		case relay == nil:
+		case relay.Silence() < relaySuspicion:
+			return n.sendOver(relay, m.Incarnation, call)
+		case silent == nil:
+			silent, silentMember = relay, m.Incarnation
+		}
 	}
-	n.handleReply(anvilmodel.CallReply{
+	if silent != nil {
+		return n.sendOver(silent, silentMember, call)
+	}
+	n.handleReply(notRun(call))
+	return nil
+}
+
+func (n *Node) sendOver(relay *anvilpeer.RelayClient, dispatcher anvilmodel.Incarnation, call anvilmodel.Call) *anvilpeer.RelayClient {
+	n.remember(call.ID, callRoute{
+		relay:      relay,
+		dispatcher: dispatcher,
+	})
+	n.metrics.Add(anvilmetric.RelayedCalls, 1, "sent")
+	relay.Enqueue(dispatcher, call)
+	return relay
+}
+
+// notRun returns the reply to a call that no dispatcher has taken.
+func notRun(call anvilmodel.Call) anvilmodel.CallReply {
+	return anvilmodel.CallReply{
 		ID:     call.ID,
 		Leaf:   call.Leaf,
 		Result: anvilmodel.CallBroken,
 		Ran:    anvilmodel.RunStateNotRun,
-	})
+	}
 }
 
 func (n *Node) cancelCall(id anvilmodel.CallID) {
@@ -76,14 +98,15 @@
 	n.relayLock.Unlock()
 }
 
+// relay returns the stream to an address, or nil when the node is stopping.
 func (n *Node) relay(address netip.AddrPort) *anvilpeer.RelayClient {
 	n.relayLock.Lock()
 	defer n.relayLock.Unlock()
 	r, ok := n.relays[address]
-	if !ok {
+	if !ok && n.relays != nil {
 		r = anvilpeer.NewRelayClient(anvilpeer.RelayConfig{
 			Address: address,
-			Deliver: n.handleReply,
+			Deliver: n.deliver,
 			Dial:    n.config.DialPeer,
 		})
 		n.relays[address] = r
@@ -91,25 +114,24 @@
 	return r
 }
 
-// checkRelays replaces relay streams that went silent while the member behind
-// them answers probes, and closes those of members that are gone.
+// checkRelays replaces relay streams that went silent, and closes those of members
+// that are gone.
 func (n *Node) checkRelays() {
-	status := make(map[netip.AddrPort]anvilmodel.MemberStatus)
+	present := make(map[netip.AddrPort]bool)
 	for _, m := range n.memberView.Load().all {
-		if status[m.PeerAddress] != anvilmodel.MemberAlive {
-			status[m.PeerAddress] = m.Status
+		if m.Status != anvilmodel.MemberDead {
+			present[m.PeerAddress] = true
 		}
 	}
-	n.relayLock.Lock()
 	silent := []*anvilpeer.RelayClient{}
+	gone := []*anvilpeer.RelayClient{}
+	n.relayLock.Lock()
 	for address, r := range n.relays {
-		s, ok := status[address]
-		if !ok || s == anvilmodel.MemberDead {
+		switch {
+		case !present[address]:
 			delete(n.relays, address)
-			silent = append(silent, r)
-			continue
-		}
-		if r.Silence() > relaySilence {
+			gone = append(gone, r)
+		case r.Silence() > relaySilence:
 			silent = append(silent, r)
 		}
 	}
@@ -117,12 +139,16 @@
 	for _, r := range silent {
 		r.Reset()
 	}
+	for _, r := range gone {
+		r.Close()
+	}
 }
 
+// closeRelays closes all streams; no new ones are opened.
 func (n *Node) closeRelays() {
 	n.relayLock.Lock()
 	relays := n.relays
-	n.relays = make(map[netip.AddrPort]*anvilpeer.RelayClient)
+	n.relays = nil
 	n.relayLock.Unlock()
 	for _, r := range relays {
 		r.Close()
@@ -133,12 +159,7 @@
 func (n *Node) acceptCall(call anvilmodel.Call, reply func(anvilmodel.CallReply)) {
 	r := n.runner(call.Leaf)
 	if r == nil {
-		reply(anvilmodel.CallReply{
-			ID:     call.ID,
-			Leaf:   call.Leaf,
-			Result: anvilmodel.CallBroken,
-			Ran:    anvilmodel.RunStateNotRun,
-		})
+		reply(notRun(call))
 		return
 	}
 	n.metrics.Add(anvilmetric.RelayedCalls, 1, "received")
--- a/anvilnode/runners.go
+++ b/anvilnode/runners.go
@@ -1,6 +1,7 @@
 package anvilnode
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -15,52 +16,75 @@
 // until then another node may still act on the previous assignment.
 const assignmentSettle = 7 * time.Second
 
+// retirePoll is the time between two checks whether a retired dispatcher has
+// calls left.
+const retirePoll = 250 * time.Millisecond
+
 // applyRunners starts, changes and retires dispatchers after a change of the
 // configuration.
 func (n *Node) applyRunners(v *view) {
 	assigned := make(map[anvilmodel.LeafName]bool)
+	retired := []*leafRunner{}
 	for _, a := range v.table.LeafsOf(n.config.Slot) {
 		assigned[a.Leaf] = true
-		n.applyRunner(v, a)
+		if old := n.applyRunner(v, a); old != nil {
+			retired = append(retired, old)
+		}
 	}
 	n.runnerLock.Lock()
-	defer n.runnerLock.Unlock()
 	for name, r := range n.runners {
-		if assigned[name] {
-			continue
+		if !assigned[name] {
+			delete(n.runners, name)
+			retired = append(retired, r)
 		}
-		delete(n.runners, name)
+	}
+	for _, r := range retired {
+		n.retired[r] = struct{}{}
+	}
+	n.runnerLock.Unlock()
+	for _, r := range retired {
 		n.retire(r)
 	}
+	n.applications.Add(1)
 }
 
-func (n *Node) applyRunner(v *view, a anvilassign.Assignment) {
+// applyRunner starts or changes the dispatcher of a leaf. It returns the one that
+// it replaces, if any.
+func (n *Node) applyRunner(v *view, a anvilassign.Assignment) *leafRunner {
 	leaf, ok := v.settings.Leaf(a.Leaf)
 	if !ok {
-		return
+		return nil
 	}
-	out := v.isOut(leaf.FailureDomain)
-	share := anvilleaf.Share{
+	config := leafConfig(v.settings, leaf, anvilleaf.Share{
 		Connections: a.Candidate.Connections,
 		Cold:        a.Candidate.ColdConcurrency,
 		Settle:      assignmentSettle,
-	}
+	})
 	n.runnerLock.Lock()
-	r, ok := n.runners[a.Leaf]
-	if ok && r.leaf != leaf {
+	defer n.runnerLock.Unlock()
+	r, old := n.runners[a.Leaf], (*leafRunner)(nil)
+	if r != nil && r.leaf != leaf {
 		// Another address is another process: its dispatcher starts afresh.
-		n.retire(r)
-		ok = false
+		r, old = nil, r
 	}
-	if !ok {
-		r = n.newLeafRunner(leaf, a.Candidate.Rank, leafConfig(v.settings, leaf, share))
+	if r == nil {
+		first := config
+		if n.applications.Load() > 0 {
+			// Another node may still have the share that an earlier revision gave
+			// it: the dispatcher begins without one and gets it after a quiet period.
+			first.Share.Cold = 0
+		}
+		r = n.newLeafRunner(leaf, first)
 		n.runners[a.Leaf] = r
 	}
-	n.runnerLock.Unlock()
+	r.rank.Store(int32(a.Candidate.Rank))
+	config.Audit = r.audit
+	out := v.isOut(leaf.FailureDomain)
 	r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
-		actions = d.SetShare(share, now, actions)
+		actions = d.Reconfigure(config, now, actions)
 		return d.SetOut(out, now, actions)
 	})
+	return old
 }
 
 func leafConfig(s *anvilconfig.Settings, leaf anvilmodel.Leaf, share anvilleaf.Share) anvilleaf.Config {
@@ -76,22 +100,36 @@
 	}
 }
 
-// retire stops new work of a dispatcher and ends it after the longest call that
-// it may still be running.
+// retire stops new work of a dispatcher and ends it when it has none left, or
+// after the longest call that it may still be running.
 func (n *Node) retire(r *leafRunner) {
 	n.record(anvilaudit.Event{
 		Kind:    anvilaudit.KindAssignmentMoved,
 		Subject: string(r.leaf.Name),
-		Cause:   fmt.Sprintf("slot %s is no longer a candidate", n.config.Slot),
+		Cause:   fmt.Sprintf("slot %s is no longer a candidate for the leaf at %s", n.config.Slot, r.leaf.Address),
 	})
 	r.post(func(d *anvilleaf.Dispatcher, now time.Time, actions []anvilleaf.Action) []anvilleaf.Action {
 		return d.SetLeaving(true, now, actions)
 	})
-	n.goRun(func() {
-		n.pause(n.longestTimeout())
-		r.stop()
-		n.upstream.Forget(r.leaf.Address)
-	})
+	n.goRun(func() { n.awaitRetired(r) })
+}
+
+func (n *Node) awaitRetired(r *leafRunner) {
+	limit, cancel := context.WithTimeout(n.background, n.longestTimeout())
+	defer cancel()
+	// The first pause lets the calls arrive that were on their way to it.
+	sleep(limit, retirePoll)
+	for r.unanswered.Load() > 0 && limit.Err() == nil {
+		sleep(limit, retirePoll)
+	}
+	r.stop()
+	n.runnerLock.Lock()
+	delete(n.retired, r)
+	_, assigned := n.runners[r.leaf.Name]
+	n.runnerLock.Unlock()
+	if !assigned {
+		n.states.drop(r.leaf.Name)
+	}
 }
 
 func (n *Node) longestTimeout() time.Duration {
@@ -117,10 +155,19 @@
 	return all
 }
 
-func (n *Node) closeRunners() {
-	for _, r := range n.allRunners() {
-		r.stop()
+// openCalls returns the calls that this node's dispatchers have not answered, also
+// those that are no longer candidates.
+func (n *Node) openCalls() int {
+	n.runnerLock.RLock()
+	defer n.runnerLock.RUnlock()
+	count := int64(0)
+	for _, r := range n.runners {
+		count += r.unanswered.Load()
+	}
+	for r := range n.retired {
+		count += r.unanswered.Load()
 	}
+	return int(count)
 }
 
 // setIsolated tells the dispatchers whether the node has lost touch with peers
--- a/anvilnode/status.go
+++ b/anvilnode/status.go
@@ -60,7 +60,7 @@
 		Leaf:          r.leaf.Name,
 		Service:       r.leaf.Service,
 		FailureDomain: r.leaf.FailureDomain,
-		Rank:          r.rank,
+		Rank:          int(r.rank.Load()),
 		Incarnation:   s.Incarnation,
 		Cold:          s.Cold,
 		Draining:      s.Draining,
--- a/anvilnode/ticket.go
+++ b/anvilnode/ticket.go
@@ -31,9 +31,10 @@
 
 // runTicket runs a non-idempotent request if its ticket allows it. The run goes
 // on when the caller disconnects, so that its outcome is recorded.
-func (n *Node) runTicket(ctx context.Context, request anvilmodel.Request) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+func (n *Node) runTicket(ctx context.Context, v *view, request anvilmodel.Request) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+	digest := requestDigest(request)
 	n.ticketLock.Lock()
-	decision := n.tickets.Begin(request.Ticket, requestDigest(request), time.Now())
+	decision := n.tickets.Begin(request.Ticket, digest, time.Now())
 	n.ticketLock.Unlock()
 	if decision.Verdict != anvilticket.VerdictRun {
 		n.admission.leave()
@@ -46,7 +47,7 @@
 	done := make(chan result, 1)
 	n.goRun(func() {
 		defer n.admission.leave()
-		answer, refusal := n.runQuery(n.background, request)
+		answer, refusal := n.runQuery(n.background, v, request)
 		n.finishTicket(request.Ticket, answer, refusal)
 		done <- result{
 			answer:  answer,
@@ -114,6 +115,8 @@
 // answerElsewhere answers a request whose ticket names another incarnation,
 // from what that incarnation says.
 func (n *Node) answerElsewhere(ctx context.Context, request anvilmodel.Request) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, request.Timeout-request.Class.ReturnReserve)
+	defer cancel()
 	outcome := n.askOutcome(ctx, request.Ticket)
 	switch outcome.State {
 	case anvilwire.OutcomeRun:
@@ -129,6 +132,24 @@
 	}
 }
 
+// refuseTicket corrects the run state of a refusal before the ticket was begun.
+// After a not-run the caller takes a new ticket, so the old one must neither have
+// run nor run later: a copy of the request may have arrived before, or may still
+// be on its way.
+func (n *Node) refuseTicket(ticket anvilmodel.Ticket, refusal *anvilmodel.Refusal) *anvilmodel.Refusal {
+	if ticket.IsZero() || refusal.Ran != anvilmodel.RunStateNotRun {
+		return refusal
+	}
+	n.ticketLock.Lock()
+	defer n.ticketLock.Unlock()
+	if n.tickets != nil && n.tickets.Void(ticket, time.Now()) {
+		return refusal
+	}
+	refusal.Ran = anvilmodel.RunStateUnknown
+	refusal.Detail += "; whether the ticket ran before is not known here, ask for its outcome"
+	return refusal
+}
+
 func ticketRefusal(id anvilmodel.RequestID, reason anvilmodel.Reason, ran anvilmodel.RunState, detail string) *anvilmodel.Refusal {
 	return &anvilmodel.Refusal{
 		RequestID: id,
@@ -207,7 +228,7 @@
 		State:  anvilwire.OutcomeUnknown,
 	}
 	m, ok := n.memberView.Load().byIncarnation[ticket.Incarnation]
-	if !ok || !m.PeerAddress.IsValid() {
+	if !ok || m.Name == n.config.Name || !m.PeerAddress.IsValid() {
 		return unknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -216,10 +237,16 @@
 	if err != nil {
 		return unknown
 	}
-	return anvilwire.Outcome{
-		Ticket: ticket,
-		State:  anvilwire.OutcomeState(outcome.State),
-		Record: outcome.Answer,
+	state := anvilwire.OutcomeState(outcome.State)
+	switch state {
+	case anvilwire.OutcomeRunning, anvilwire.OutcomeNotRun, anvilwire.OutcomeRun:
+		return anvilwire.Outcome{
+			Ticket: ticket,
+			State:  state,
+			Record: outcome.Answer,
+		}
+	default:
+		return unknown
 	}
 }
 
--- /dev/null
+++ b/anvilnode/validate.go
@@ -0,0 +1,77 @@
+package anvilnode
+
+import (
+	"fmt"
+	"strings"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilwire"
+)
+
+// validate checks a query against the configuration.
+func validate(v *view, q anvilwire.Query) (anvilmodel.Request, *anvilmodel.Refusal) {
+	refuse := func(reason anvilmodel.Reason, detail, accepted string) (anvilmodel.Request, *anvilmodel.Refusal) {
+		return anvilmodel.Request{}, &anvilmodel.Refusal{
+			RequestID: q.ID,
+			Reason:    reason,
+			Ran:       anvilmodel.RunStateNotRun,
+			Detail:    detail,
+			Accepted:  accepted,
+		}
+	}
+	if _, ok := v.settings.Service(q.Service); !ok {
+		return refuse(anvilmodel.ReasonUnknownService, fmt.Sprintf("there is no service %q", q.Service), serviceNames(v))
+	}
+	class, ok := v.settings.Class(q.Class)
+	if !ok || !class.Serves(q.Service) {
+		return refuse(anvilmodel.ReasonUnknownClass,
+			fmt.Sprintf("there is no class %q for service %q", q.Class, q.Service), classNames(v, q.Service))
+	}
+	if q.Timeout <= class.Class.ReturnReserve {
+		return refuse(anvilmodel.ReasonBadTimeout,
+			fmt.Sprintf("%s is not longer than the %s kept back for the way to the caller", q.Timeout, class.Class.ReturnReserve),
+			fmt.Sprintf("more than %s, at most %s", class.Class.ReturnReserve, class.Class.Timeout))
+	}
+	if q.Timeout > class.Class.Timeout {
+		return refuse(anvilmodel.ReasonBadTimeout,
+			fmt.Sprintf("%s is longer than class %q allows", q.Timeout, q.Class),
+			fmt.Sprintf("at most %s", class.Class.Timeout))
+	}
+	if !class.Class.NonIdempotent && !q.Ticket.IsZero() {
+		return refuse(anvilmodel.ReasonBadTicket,
+			fmt.Sprintf("class %q may run more than once and takes no ticket", q.Class),
+			"no "+anvilwire.HeaderTicket)
+	}
+	if class.Class.NonIdempotent && q.Ticket.IsZero() {
+		return refuse(anvilmodel.ReasonBadTicket,
+			fmt.Sprintf("class %q needs a ticket", q.Class),
+			anvilwire.HeaderTicket+": <incarnation>.<epoch>.<32 hex digits>")
+	}
+	return anvilmodel.Request{
+		ID:      q.ID,
+		Service: q.Service,
+		Class:   class.Class,
+		Timeout: q.Timeout,
+		Ticket:  q.Ticket,
+		Key:     q.Key,
+		Body:    q.Body,
+	}, nil
+}
+
+func serviceNames(v *view) string {
+	names := make([]string, 0, len(v.settings.Services))
+	for _, s := range v.settings.Services {
+		names = append(names, string(s.Name))
+	}
+	return "one of " + strings.Join(names, ", ")
+}
+
+func classNames(v *view, service anvilmodel.ServiceName) string {
+	names := []string{}
+	for _, c := range v.settings.Classes {
+		if c.Serves(service) {
+			names = append(names, string(c.Class.Name))
+		}
+	}
+	return "one of " + strings.Join(names, ", ")
+}
--- a/anvilpeer/codec.go
+++ b/anvilpeer/codec.go
@@ -94,7 +94,7 @@
 	}
 }
 
-func encodeReply(r anvilmodel.CallReply) *anvilproto.LeafReply {
+func encodeReply(r *anvilmodel.CallReply) *anvilproto.LeafReply {
 	return &anvilproto.LeafReply{
 		Id:               encodeCallID(r.ID),
 		Leaf:             string(r.Leaf),
--- a/anvilpeer/relay.go
+++ b/anvilpeer/relay.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -14,9 +16,14 @@
 	"anvilbridge/anvilproto"
 )
 
-// maxBatch bounds the calls or replies of one relay message, so that a long
-// queue does not build a message beyond drpc's buffer limits.
-const maxBatch = 128
+const (
+	// dialTimeout bounds opening a connection. Without it a call to a VM that is
+	// gone would wait for the operating system, which tries for minutes.
+	dialTimeout = time.Second
+	// redialAfter is the time without new attempts after a node refused a
+	// connection or shut down, so that calls to it do not each dial.
+	redialAfter = 100 * time.Millisecond
+)
 
 // DialFunc opens a connection to another node.
 type DialFunc func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
@@ -33,18 +40,23 @@
 
 // RelayClient sends leaf calls to one other node over one stream. When the
 // stream breaks, every outstanding call is answered and the next call dials a
-// new one.
+// new one. It is safe for concurrent use.
 type RelayClient struct {
 	address netip.AddrPort
 	deliver func(anvilmodel.CallReply)
 	dial    DialFunc
+	// links counts the goroutines of all streams.
+	links sync.WaitGroup
 
 	mu      sync.Mutex
 	current *relayLink
-	closed  bool
+	// redialAt is when the next stream may be dialed.
+	redialAt time.Time
+	closed   bool
 }
 
-// NewRelayClient returns a client that connects when it is first used.
+// NewRelayClient returns a client that connects when it is first used. It must
+// be closed by Close.
 func NewRelayClient(c RelayConfig) *RelayClient {
 	dial := c.Dial
 	if dial == nil {
@@ -57,25 +69,36 @@
 	}
 }
 
-// Send queues a call for the given incarnation of the node. Its reply, or a
-// CallBroken reply, comes through Deliver.
-func (r *RelayClient) Send(dispatcher anvilmodel.Incarnation, call anvilmodel.Call) {
-	l := r.link()
-	sent := l != nil && l.push(relayItem{
+// Enqueue takes a call for the given incarnation of the node; Flush sends it with
+// the others taken so far. Its reply, or a CallBroken reply, comes through
+// Deliver, possibly before Enqueue returns.
+func (r *RelayClient) Enqueue(dispatcher anvilmodel.Incarnation, call anvilmodel.Call) {
+	if len(call.Body) > MaxBodyBytes {
+		r.deliver(brokenReply(call.ID, call.Leaf, anvilmodel.RunStateNotRun))
+		return
+	}
+	now := time.Now()
+	l := r.link(now)
+	taken := l != nil && l.push(relayItem{
 		dispatcher: dispatcher,
 		call:       call,
-		queued:     time.Now(),
+		queued:     now,
 	})
-	if !sent {
+	if !taken {
 		r.deliver(brokenReply(call.ID, call.Leaf, anvilmodel.RunStateNotRun))
 	}
 }
 
-// Cancel asks the node to cancel a call.
+// Flush sends what was taken by Enqueue.
+func (r *RelayClient) Flush() {
+	if l := r.present(); l != nil {
+		l.flush()
+	}
+}
+
+// Cancel asks the node to cancel a call that was handed to Enqueue before.
 func (r *RelayClient) Cancel(dispatcher anvilmodel.Incarnation, id anvilmodel.CallID) {
-	r.mu.Lock()
-	l := r.current
-	r.mu.Unlock()
+	l := r.present()
 	if l == nil {
 		return
 	}
@@ -84,6 +107,7 @@
 		cancel:     id,
 		isCancel:   true,
 	})
+	l.flush()
 }
 
 // Reset breaks the current stream, so that the next call dials a new one.
@@ -97,48 +121,72 @@
 	}
 }
 
-// Close breaks the stream and refuses further calls.
+// Close breaks the stream, refuses further calls, and returns when every
+// outstanding call has been answered.
 func (r *RelayClient) Close() {
 	r.mu.Lock()
 	r.closed = true
 	r.mu.Unlock()
 	r.Reset()
+	r.links.Wait()
 }
 
-// Silence returns for how long calls have been waiting without any reply on
-// the stream; zero when none is waiting.
+// Silence returns for how long calls have been waiting while nothing was
+// received on the stream; zero when none is waiting. A node that is alive sends
+// something at least every 100 ms while it has calls of this stream.
 func (r *RelayClient) Silence() time.Duration {
-	r.mu.Lock()
-	l := r.current
-	r.mu.Unlock()
+	l := r.present()
 	if l == nil {
 		return 0
 	}
 	return l.silence(time.Now())
 }
 
-func (r *RelayClient) link() *relayLink {
+func (r *RelayClient) present() *relayLink {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current
+}
+
+// link returns the current stream, or a new one, or nil if none may be opened.
+func (r *RelayClient) link(now time.Time) *relayLink {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed {
-		return nil
-	}
 	if r.current != nil {
 		return r.current
 	}
+	if r.closed || now.Before(r.redialAt) {
+		return nil
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	r.current = newRelayLink(stop)
-	go r.run(ctx, r.current)
-	return r.current
+	l := newRelayLink(stop)
+	r.current = l
+	r.links.Add(1)
+	go func() {
+		defer r.links.Done()
+		defer stop()
+		r.fail(l, r.run(ctx, l))
+	}()
+	return l
 }
 
-// run owns the stream of one link until it breaks.
-func (r *RelayClient) run(ctx context.Context, l *relayLink) {
-	defer r.fail(l)
-	defer l.stop()
-	conn, err := r.dial(ctx, r.address)
+// ending says how a stream ended.
+type ending int
+
+const (
+	// endingBroken leaves open what became of calls that were sent.
+	endingBroken ending = iota
+	// endingUnopened means that there was no stream.
+	endingUnopened
+	// endingDrained means that the node answered every call that it took.
+	endingDrained
+)
+
+// run owns the stream of one link until it ends.
+func (r *RelayClient) run(ctx context.Context, l *relayLink) ending {
+	conn, err := r.open(ctx)
 	if err != nil {
-		return
+		return endingUnopened
 	}
 	rpc := drpcconn.NewWithOptions(conn, drpcconn.Options{
 		Manager: managerOptions(),
@@ -146,24 +194,40 @@
 	defer func() { _ = rpc.Close() }()
 	stream, err := anvilproto.NewDRPCPeerClient(rpc).Relay(ctx)
 	if err != nil {
-		return
+		return endingBroken
 	}
-	received := make(chan struct{})
+	received := make(chan error, 1)
 	go func() {
-		defer close(received)
 		defer l.stop()
-		r.receive(stream, l)
+		received <- r.receive(stream, l)
 	}()
 	r.transmit(ctx, stream, l)
 	l.stop()
 	_ = rpc.Close()
-	<-received
+	if err := <-received; errors.Is(err, io.EOF) {
+		return endingDrained
+	}
+	return endingBroken
+}
+
+func (r *RelayClient) open(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return r.dial(ctx, r.address)
 }
 
 func (r *RelayClient) transmit(ctx context.Context, stream anvilproto.DRPCPeer_RelayClient, l *relayLink) {
+	var expired []anvilmodel.CallReply
 	for {
-		batch := l.take(time.Now())
+		var batch *anvilproto.RelayBatch
+		batch, expired = l.take(time.Now(), expired[:0])
+		for _, reply := range expired {
+			r.deliver(reply)
+		}
 		if batch != nil {
+			if len(batch.Calls)+len(batch.Cancels) == 0 {
+				continue
+			}
 			if err := stream.Send(batch); err != nil {
 				return
 			}
@@ -177,15 +241,19 @@
 	}
 }
 
-func (r *RelayClient) receive(stream anvilproto.DRPCPeer_RelayClient, l *relayLink) {
+// receive delivers replies until the stream ends. It returns io.EOF only if the
+// node ended the stream after its last reply: drpc reports a lost connection as
+// another error.
+func (r *RelayClient) receive(stream anvilproto.DRPCPeer_RelayClient, l *relayLink) error {
 	for {
 		replies, err := stream.Recv()
 		if err != nil {
-			return
+			return err
 		}
+		l.hear(time.Now())
 		for _, encoded := range replies.GetReplies() {
 			reply := decodeReply(encoded)
-			if l.settle(reply.ID, time.Now()) {
+			if l.settle(reply.ID) {
 				r.deliver(reply)
 			}
 		}
@@ -193,17 +261,20 @@
 }
 
 // fail answers every outstanding call. A call that was never handed to the
-// stream has certainly not run.
-func (r *RelayClient) fail(l *relayLink) {
+// stream, or not taken by a node that drained it, has certainly not run.
+func (r *RelayClient) fail(l *relayLink, e ending) {
 	r.mu.Lock()
 	if r.current == l {
 		r.current = nil
 	}
+	if e != endingBroken {
+		r.redialAt = time.Now().Add(redialAfter)
+	}
 	r.mu.Unlock()
 	for id, entry := range l.close() {
-		ran := anvilmodel.RunStateNotRun
-		if entry.sent {
-			ran = anvilmodel.RunStateUnknown
+		ran := anvilmodel.RunStateUnknown
+		if !entry.sent || e == endingDrained {
+			ran = anvilmodel.RunStateNotRun
 		}
 		r.deliver(brokenReply(id, entry.leaf, ran))
 	}
--- /dev/null
+++ b/anvilpeer/relay_test.go
@@ -0,0 +1,287 @@
+package anvilpeer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilpeer"
+)
+
+// outcomes returns how often each result and run state occurs.
+func outcomes(replies []anvilmodel.CallReply) map[string]int {
+	counts := make(map[string]int)
+	for _, r := range replies {
+		counts[r.Result.String()+" "+r.Ran.String()]++
+	}
+	return counts
+}
+
+// TestEveryCallIsAnsweredWhenItsStreamEnds guards against calls that wait for a
+// reply that cannot come, and against a not-run that is not certain: a call that
+// may have reached the other node is unknown.
+func TestEveryCallIsAnsweredWhenItsStreamEnds(t *testing.T) {
+	refused := errors.New("connection refused")
+	blocked := func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	cases := []struct {
+		name string
+		dial anvilpeer.DialFunc
+		// end ends the stream after three calls were handed over.
+		end  func(t *testing.T, p *peer)
+		want map[string]int
+	}{
+		{
+			name: "no connection",
+			dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, refused },
+			end:  func(*testing.T, *peer) {},
+			want: map[string]int{"broken not-run": 3},
+		},
+		{
+			name: "closed while connecting",
+			dial: blocked,
+			end:  func(_ *testing.T, p *peer) { p.client.Close() },
+			want: map[string]int{"broken not-run": 3},
+		},
+		{
+			name: "reset after sending",
+			end: func(t *testing.T, p *peer) {
+				p.awaitSubmitted(t, 3)
+				p.client.Reset()
+			},
+			want: map[string]int{"broken unknown": 3},
+		},
+		{
+			name: "other node gone",
+			end: func(t *testing.T, p *peer) {
+				p.awaitSubmitted(t, 3)
+				p.stop()
+			},
+			want: map[string]int{"broken unknown": 3},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := (&peer{
+				submit: hold,
+				dial:   c.dial,
+			}).start(t, anvilpeer.Handlers{})
+			p.send(callNumber(1), callNumber(2), callNumber(3))
+			c.end(t, p)
+			if diff := cmp.Diff(c.want, outcomes(p.awaitReplies(t, 3))); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestDrainAnswersWhatItTook guards against calls that a graceful shutdown cuts
+// off: those taken are answered, later ones are certainly not run.
+func TestDrainAnswersWhatItTook(t *testing.T) {
+	release := make(chan struct{})
+	p := (&peer{
+		submit: func(call anvilmodel.Call, reply func(anvilmodel.CallReply)) {
+			go func() {
+				<-release
+				echo(call, reply)
+			}()
+		},
+	}).start(t, anvilpeer.Handlers{})
+	p.send(callNumber(1), callNumber(2))
+	p.awaitSubmitted(t, 2)
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		p.server.Drain(t.Context())
+	}()
+	// From some call on, the draining server takes none.
+	number := 2
+	eventually(t, "a call that is not taken", func() bool {
+		number++
+		p.send(callNumber(number))
+		time.Sleep(time.Millisecond)
+		submitted, _ := p.seen()
+		return len(submitted) < number
+	})
+	close(release)
+	<-drained
+	submitted, _ := p.seen()
+	got := outcomes(p.awaitReplies(t, number))
+	want := map[string]int{
+		"ok run":         len(submitted),
+		"broken not-run": number - len(submitted),
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestWrongIncarnationIsRefused guards against calls that a process runs although
+// they were meant for its predecessor at the same address.
+func TestWrongIncarnationIsRefused(t *testing.T) {
+	p := (&peer{}).start(t, anvilpeer.Handlers{})
+	p.client.Enqueue(dispatcher-1, callNumber(1))
+	p.client.Enqueue(dispatcher, callNumber(2))
+	p.client.Flush()
+	want := map[string]int{
+		"broken not-run": 1,
+		"ok run":         1,
+	}
+	if diff := cmp.Diff(want, outcomes(p.awaitReplies(t, 2))); diff != "" {
+		t.Error(diff)
+	}
+	if submitted, _ := p.seen(); len(submitted) != 1 || submitted[0].ID.Attempt != 2 {
+		t.Errorf("submitted %v, want only the call for this incarnation", submitted)
+	}
+}
+
+// TestCancelFollowsItsCall guards against cancellations that do not arrive, and
+// against work that goes on for an origin that is gone. A non-idempotent call
+// runs on.
+func TestCancelFollowsItsCall(t *testing.T) {
+	p := (&peer{
+		submit: hold,
+	}).start(t, anvilpeer.Handlers{})
+	once := callNumber(3)
+	once.NonIdempotent = true
+	p.send(callNumber(1), callNumber(2), once)
+	p.client.Cancel(dispatcher, callNumber(1).ID)
+	eventually(t, "cancellation", func() bool {
+		submitted, cancelled := p.seen()
+		return len(submitted) == 3 && len(cancelled) == 1 && cancelled[0].Attempt == 1
+	})
+	p.client.Cancel(dispatcher, callNumber(9).ID)
+	p.client.Close()
+	eventually(t, "cancellation of what is left", func() bool {
+		_, cancelled := p.seen()
+		return len(cancelled) == 3
+	})
+	_, cancelled := p.seen()
+	for _, id := range cancelled[1:] {
+		if id.Attempt > 2 {
+			t.Errorf("call %d was cancelled", id.Attempt)
+		}
+	}
+}
+
+// TestBatchesKeepOrder guards against calls or replies that are lost, doubled or
+// reordered between the batches of a stream.
+func TestBatchesKeepOrder(t *testing.T) {
+	const count = 1000
+	p := (&peer{}).start(t, anvilpeer.Handlers{})
+	for n := range count {
+		p.client.Enqueue(dispatcher, callNumber(n))
+		if n%7 == 0 {
+			p.client.Flush()
+		}
+	}
+	p.client.Flush()
+	replies := p.awaitReplies(t, count)
+	submitted, _ := p.seen()
+	for n := range count {
+		if submitted[n].ID.Attempt != n || replies[n].ID.Attempt != n {
+			t.Fatalf("at %d: call %d, reply %d", n, submitted[n].ID.Attempt, replies[n].ID.Attempt)
+		}
+	}
+	if len(submitted) != count || len(replies) != count {
+		t.Errorf("%d calls and %d replies, want %d", len(submitted), len(replies), count)
+	}
+}
+
+// TestLargeBodies guards against bodies that together, or one alone, exceed what
+// a message may hold: that breaks the stream and every call on it.
+func TestLargeBodies(t *testing.T) {
+	p := (&peer{}).start(t, anvilpeer.Handlers{})
+	tooLarge := callNumber(0)
+	tooLarge.Body = make([]byte, anvilpeer.MaxBodyBytes+1)
+	largest := callNumber(1)
+	largest.Body = tooLarge.Body[:anvilpeer.MaxBodyBytes]
+	calls := []anvilmodel.Call{tooLarge, largest}
+	for n := range 40 {
+		c := callNumber(2 + n)
+		c.Body = tooLarge.Body[:1<<20]
+		calls = append(calls, c)
+	}
+	p.send(calls...)
+	want := map[string]int{
+		"broken not-run": 1,
+		"ok run":         41,
+	}
+	if diff := cmp.Diff(want, outcomes(p.awaitReplies(t, 42))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestTimeInTheQueue guards against calls that are sent after their time has run
+// out, or with the time that they had when they were queued.
+func TestTimeInTheQueue(t *testing.T) {
+	connect := make(chan struct{})
+	p := (&peer{
+		dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			<-connect
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+		},
+	}).start(t, anvilpeer.Handlers{})
+	short, long := callNumber(1), callNumber(2)
+	short.Timeout = 5 * time.Millisecond
+	p.send(short, long)
+	time.Sleep(2 * short.Timeout)
+	close(connect)
+	want := map[string]int{
+		"timeout not-run": 1,
+		"ok run":          1,
+	}
+	if diff := cmp.Diff(want, outcomes(p.awaitReplies(t, 2))); diff != "" {
+		t.Error(diff)
+	}
+	submitted, _ := p.seen()
+	if len(submitted) != 1 || submitted[0].Timeout > generous-2*short.Timeout {
+		t.Errorf("submitted %v, want call 2 with less time", submitted)
+	}
+}
+
+// TestSilence guards against a slow call that is taken for a silent stream, and
+// against a silent stream that goes unnoticed.
+func TestSilence(t *testing.T) {
+	slow := (&peer{
+		submit: hold,
+	}).start(t, anvilpeer.Handlers{})
+	slow.send(callNumber(1))
+	// Each time that the silence ends without a reply, an empty message came.
+	last, ends := time.Duration(0), 0
+	eventually(t, "signs of life", func() bool {
+		now := slow.client.Silence()
+		if now < last {
+			ends++
+		}
+		last = now
+		return ends == 3
+	})
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	silent := (&peer{
+		dial: func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", mute.Addr().String())
+		},
+	}).start(t, anvilpeer.Handlers{})
+	silent.send(callNumber(1))
+	eventually(t, "silence", func() bool { return silent.client.Silence() > time.Second })
+	silent.client.Reset()
+	if diff := cmp.Diff(map[string]int{"broken unknown": 1}, outcomes(silent.awaitReplies(t, 1))); diff != "" {
+		t.Error(diff)
+	}
+	if s := silent.client.Silence(); s != 0 {
+		t.Errorf("silence %s without a call", s)
+	}
+}
--- a/anvilpeer/relaylink.go
+++ b/anvilpeer/relaylink.go
@@ -9,15 +9,25 @@
 	"anvilbridge/anvilproto"
 )
 
+const (
+	// maxBatch bounds the calls or replies of one relay message.
+	maxBatch = 128
+	// batchBytes bounds the bodies of one relay message that holds several calls
+	// or replies, so that large ones do not add up to more than a message may hold
+	// and a small one does not wait long behind them.
+	batchBytes = 1 << 20
+)
+
 // relayLink is one stream and the calls that wait for a reply on it.
 type relayLink struct {
 	wake chan struct{}
 	stop context.CancelFunc
 
 	mu          sync.Mutex
-	outstanding map[anvilmodel.CallID]*relayEntry
+	outstanding map[anvilmodel.CallID]relayEntry
 	queue       []relayItem
-	// heard is the last time of a reply, or of the first call since none waited.
+	// heard is the last time that something was received, or of the first call
+	// since none waited.
 	heard  time.Time
 	closed bool
 }
@@ -39,49 +49,58 @@
 	return &relayLink{
 		wake:        make(chan struct{}, 1),
 		stop:        stop,
-		outstanding: make(map[anvilmodel.CallID]*relayEntry),
+		outstanding: make(map[anvilmodel.CallID]relayEntry),
 	}
 }
 
-// push queues an item and reports false when the link is closed.
+// push queues an item and reports false when the link is closed. The cancellation
+// of a call that has its reply is left out.
 func (l *relayLink) push(item relayItem) bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.closed {
-		l.mu.Unlock()
 		return false
 	}
-	if !item.isCancel {
+	if item.isCancel {
+		if _, ok := l.outstanding[item.cancel]; !ok {
+			return true
+		}
+	} else {
 		if len(l.outstanding) == 0 {
 			l.heard = item.queued
 		}
-		l.outstanding[item.call.ID] = &relayEntry{
+		l.outstanding[item.call.ID] = relayEntry{
 			leaf: item.call.Leaf,
 		}
 	}
 	l.queue = append(l.queue, item)
-	l.mu.Unlock()
+	return true
+}
+
+// flush lets the queue be sent.
+func (l *relayLink) flush() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
-	return true
 }
 
-// take returns the next queued items for one incarnation, or nil. The time
-// that a call has waited here is taken off its timeout.
-func (l *relayLink) take(now time.Time) *anvilproto.RelayBatch {
+// take returns the next queued items for one incarnation, or nil. The time that a
+// call has waited here is taken off its timeout; the replies to calls that have
+// none left are appended to expired.
+func (l *relayLink) take(now time.Time, expired []anvilmodel.CallReply) (*anvilproto.RelayBatch, []anvilmodel.CallReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.queue) == 0 {
-		return nil
+		return nil, expired
 	}
-	dispatcher := l.queue[0].dispatcher
 	batch := &anvilproto.RelayBatch{
-		Dispatcher: uint64(dispatcher),
+		Dispatcher: uint64(l.queue[0].dispatcher),
 	}
-	taken := 0
-	for _, item := range l.queue {
-		if item.dispatcher != dispatcher || taken == maxBatch {
+	taken, bytes := 0, 0
+	for i := range l.queue {
+		item := &l.queue[i]
+		if item.dispatcher != l.queue[0].dispatcher || taken == maxBatch || bytes > 0 && bytes+len(item.call.Body) > batchBytes {
 			break
 		}
 		taken++
@@ -90,22 +109,46 @@
 			continue
 		}
 		item.call.Timeout -= now.Sub(item.queued)
-		batch.Calls = append(batch.Calls, encodeCall(item.call))
-		if entry, ok := l.outstanding[item.call.ID]; ok {
-			entry.sent = true
+		if item.call.Timeout <= 0 {
+			expired = append(expired, l.expire(&item.call))
+			continue
+		}
+		bytes += len(item.call.Body)
+		l.outstanding[item.call.ID] = relayEntry{
+			leaf: item.call.Leaf,
+			sent: true,
 		}
+		batch.Calls = append(batch.Calls, encodeCall(item.call))
 	}
 	rest := copy(l.queue, l.queue[taken:])
 	clear(l.queue[rest:])
 	l.queue = l.queue[:rest]
-	return batch
+	return batch, expired
 }
 
-// settle forgets a call and reports whether it was outstanding.
-func (l *relayLink) settle(id anvilmodel.CallID, now time.Time) bool {
+// expire forgets a call whose time ran out before it was sent, and returns its
+// reply.
+func (l *relayLink) expire(call *anvilmodel.Call) anvilmodel.CallReply {
+	delete(l.outstanding, call.ID)
+	return anvilmodel.CallReply{
+		ID:     call.ID,
+		Leaf:   call.Leaf,
+		Result: anvilmodel.CallTimeout,
+		Ran:    anvilmodel.RunStateNotRun,
+	}
+}
+
+// hear notes that the stream delivered something.
+func (l *relayLink) hear(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard = now
+}
+
+// settle forgets a call and reports whether it was outstanding.
+func (l *relayLink) settle(id anvilmodel.CallID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if _, ok := l.outstanding[id]; !ok {
 		return false
 	}
@@ -123,7 +166,7 @@
 }
 
 // close returns the calls without a reply and refuses further items.
-func (l *relayLink) close() map[anvilmodel.CallID]*relayEntry {
+func (l *relayLink) close() map[anvilmodel.CallID]relayEntry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	outstanding := l.outstanding
--- a/anvilpeer/server.go
+++ b/anvilpeer/server.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 
 	"github.com/joomcode/errorx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"anvilbridge/anvilmember"
@@ -16,9 +19,17 @@
 	"anvilbridge/anvilrevision"
 )
 
-// maxMessageBytes bounds one message. It holds the chunks of two documents of
-// 1 MB, and a batch of calls with large bodies.
-const maxMessageBytes = 16 << 20
+const (
+	// maxMessageBytes bounds one message; a larger one breaks the connection that
+	// it arrives on. It holds the chunks of several documents of 1 MB.
+	maxMessageBytes = 16 << 20
+	// MaxBodyBytes bounds the body of a relayed call. The rest of a message is room
+	// for names, which have at most 128 bytes each.
+	MaxBodyBytes = maxMessageBytes - 64<<10
+	// keptBufferBytes bounds the buffer that a stream keeps between messages, so
+	// that one large message does not cost its size on every stream for good.
+	keptBufferBytes = 256 << 10
+)
 
 // Errors is the namespace of the errors of this package.
 var Errors = errorx.NewNamespace("anvilpeer")
@@ -46,7 +57,7 @@
 	Incarnation func() anvilmodel.Incarnation
 	// Submit takes a leaf call over; reply is called once and must not block.
 	Submit func(call anvilmodel.Call, reply func(anvilmodel.CallReply))
-	// Cancel cancels a submitted call.
+	// Cancel cancels a submitted call; one that has its reply is no error.
 	Cancel func(id anvilmodel.CallID)
 	// Probe returns false when the node cannot say anything.
 	Probe func(ctx context.Context, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool)
@@ -66,12 +77,19 @@
 	anvilproto.DRPCPeerUnimplementedServer
 	handlers Handlers
 	server   *drpcserver.Server
+
+	// streams counts the relay streams, readers their reading goroutines.
+	streams   atomic.Int64
+	readers   sync.WaitGroup
+	draining  chan struct{}
+	drainOnce sync.Once
 }
 
 // NewServer returns a server that is not yet listening.
 func NewServer(h Handlers) (*Server, error) {
 	s := &Server{
 		handlers: h,
+		draining: make(chan struct{}),
 	}
 	mux := drpcmux.New()
 	if err := anvilproto.DRPCRegisterPeer(mux, s); err != nil {
@@ -88,11 +106,16 @@
 		Reader: drpcwire.ReaderOptions{
 			MaximumBufferSize: maxMessageBytes,
 		},
+		Stream: drpcstream.Options{
+			MaximumBufferSize: keptBufferBytes,
+		},
 	}
 }
 
-// Serve answers on the listener until the context ends.
+// Serve answers on the listener until the context ends, or until it cannot
+// accept connections any more, and returns when all handlers have ended.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	defer s.readers.Wait()
 	return s.server.Serve(ctx, listener)
 }
 
--- a/anvilserver/endpoint.go
+++ b/anvilserver/endpoint.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
@@ -12,16 +14,14 @@
 	"anvilbridge/anvilwire"
 )
 
-// queryRequest is the request type of the query endpoint.
-type queryRequest struct {
-	query   anvilwire.Query
-	arrived time.Time
-}
-
 // queryEndpoint returns *anvilmodel.Answer; a refusal is returned as the error.
-func queryEndpoint(run func(context.Context, anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal)) endpoint.Endpoint {
+func queryEndpoint(c Config) endpoint.Endpoint {
 	return func(ctx context.Context, request any) (any, error) {
-		answer, refusal := run(ctx, request.(queryRequest).query)
+		q := request.(queryRequest)
+		if q.refusal != nil {
+			return nil, c.Refuse(q.query.Ticket, q.refusal)
+		}
+		answer, refusal := c.Query(ctx, q.query)
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -105,6 +105,28 @@
 	}
 }
 
+// recoverRequests does the same for the requests that are no queries.
+func recoverRequests(log zerolog.Logger, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			fault := recover()
+			if fault == nil {
+				return
+			}
+			if err, ok := fault.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+				panic(fault)
+			}
+			log.Error().
+				Str("event", "request-panic").
+				Str("path", r.URL.Path).
+				Str("fault", fmt.Sprint(fault)).
+				Send()
+			writeText(w, http.StatusInternalServerError, "internal error\n")
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
 func result(request queryRequest, response any, err error) QueryResult {
 	r := QueryResult{
 		Query: request.query,
--- a/anvilserver/handler.go
+++ b/anvilserver/handler.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	httptransport "github.com/go-kit/kit/transport/http"
@@ -17,23 +15,13 @@
 
 const contentTypeJSON = "application/json"
 
+// controllerKey is the context key of the connection's controls.
+type controllerKey struct{}
+
 func queryHandler(e endpoint.Endpoint, maxBodyBytes func() int) http.Handler {
-	decode := func(_ context.Context, r *http.Request) (any, error) {
-		arrived := time.Now()
-		body, refusal := readBody(r, maxBodyBytes())
-		if refusal != nil {
-			return nil, refusal
-		}
-		query, refusal := anvilwire.DecodeQuery(r.Header, body)
-		if refusal != nil {
-			return nil, refusal
-		}
-		// Reading the body may have used up a part of the caller's time.
-		query.Timeout -= time.Since(arrived)
-		return queryRequest{
-			query:   query,
-			arrived: arrived,
-		}, nil
+	decode := func(ctx context.Context, r *http.Request) (any, error) {
+		controller, _ := ctx.Value(controllerKey{}).(*http.ResponseController)
+		return decodeQuery(r, controller, maxBodyBytes()), nil
 	}
 	encode := func(_ context.Context, w http.ResponseWriter, response any) error {
 		answer := response.(*anvilmodel.Answer)
@@ -45,7 +33,11 @@
 		writeJSON(w, http.StatusOK, body)
 		return nil
 	}
-	return httptransport.NewServer(e, decode, encode, httptransport.ServerErrorEncoder(encodeRefusal))
+	server := httptransport.NewServer(e, decode, encode, httptransport.ServerErrorEncoder(encodeRefusal))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		controller := http.NewResponseController(w)
+		server.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), controllerKey{}, controller)))
+	})
 }
 
 func outcomeHandler(e endpoint.Endpoint) http.Handler {
@@ -109,40 +101,6 @@
 	}
 }
 
-// readBody reads at most limit bytes. A request whose body cannot be read has
-// not been run.
-func readBody(r *http.Request, limit int) ([]byte, *anvilmodel.Refusal) {
-	refusal := &anvilmodel.Refusal{
-		RequestID: anvilmodel.RequestID(r.Header.Get(anvilwire.HeaderRequestID)),
-		Ran:       anvilmodel.RunStateNotRun,
-		Accepted:  fmt.Sprintf("a body of at most %d bytes", limit),
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
-		refusal.Reason = anvilmodel.ReasonBadRequest
-		refusal.Detail = "reading the body: " + err.Error()
-		return nil, refusal
-	}
-	if len(body) > limit {
-		refusal.Reason = anvilmodel.ReasonBodyTooLarge
-		refusal.Detail = fmt.Sprintf("the body has more than %d bytes", limit)
-		return nil, refusal
-	}
-	return body, nil
-}
-
-func encodeRefusal(_ context.Context, err error, w http.ResponseWriter) {
-	refusal := asRefusal("", err)
-	body, err := anvilwire.AppendRefusal(nil, refusal)
-	if err != nil {
-		writeText(w, http.StatusInternalServerError, "encoding the refusal: "+err.Error()+"\n")
-		return
-	}
-	anvilwire.SetRefusalHeader(w.Header(), refusal)
-	anvilwire.SetReplyIdentity(w.Header(), refusal.RequestID, body)
-	writeJSON(w, anvilwire.Status(refusal.Reason), body)
-}
-
 func asRefusal(id anvilmodel.RequestID, err error) *anvilmodel.Refusal {
 	var refusal *anvilmodel.Refusal
 	if errors.As(err, &refusal) {
