Tell late from lost requests of the demo by the time taken

Cause: an unknown outcome that came from the caller's own timeout counted as a request that was cut off, because errorx hides the cause of a wrapped error. Change: an error counts as late once the caller's time is up.

--- a/anvildemo/load.go
+++ b/anvildemo/load.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/joomcode/errorx"
 
 	"anvilbridge/anvilcaller"
 	"anvilbridge/anvilmodel"
@@ -197,7 +196,8 @@
 		if refusal.Ran == anvilmodel.RunStateNotRun {
 			result.claims = append(result.claims, request.ID)
 		}
-	case errors.Is(err, context.DeadlineExceeded) || errorx.IsOfType(err, anvilcaller.TimedOut):
+	case took >= c.timeout:
+		// Nothing was lost before the caller's own time was up.
 		result.late++
 	default:
 		result.failures++
