--- a/anvilquery/config.go
+++ b/anvilquery/config.go
@@ -19,7 +19,8 @@
 	DefaultMaximumShards = 2048
 )
 
-// Config holds what an Origin is created with. Zero fields take the defaults.
+// Config holds what an Origin is created with. Zero fields take the defaults; a
+// budget of zero can be set with SetBudgets.
 type Config struct {
 	// Incarnation is that of this node; it is part of every call id.
 	Incarnation anvilmodel.Incarnation
--- a/anvilquery/origin.go
+++ b/anvilquery/origin.go
@@ -1,6 +1,3 @@
-// Package anvilquery makes all decisions of one query at the node that received
-// it: deadline, snapshot, coverage, choice of leafs, hedging, retries and when
-// to answer. It does no I/O; it is handed the time and events and returns actions.
 package anvilquery
 
 import (
--- a/anvilquery/pool.go
+++ b/anvilquery/pool.go
@@ -1,7 +1,7 @@
 package anvilquery
 
 // freeLimit bounds the released queries that are kept for reuse.
-const freeLimit = 256
+const freeLimit = 64
 
 // newQuery returns an empty query, if possible with the memory of a released one.
 func (o *Origin) newQuery() *Query {
--- a/anvilquery/retry.go
+++ b/anvilquery/retry.go
@@ -36,7 +36,11 @@
 func (q *Query) lossOf(c *callState, reply *anvilmodel.CallReply) loss {
 	switch reply.Result {
 	case anvilmodel.CallShed:
-		q.shed(c.leaf, reply)
+		// Dispatchers refuse hedges long before they refuse other calls, so this
+		// says nothing about those.
+		if c.kind != callHedge {
+			q.shed(c.leaf, reply)
+		}
 		return lossShed
 	case anvilmodel.CallSnapshotGone:
 		if reply.Incarnation == 0 || reply.Incarnation == c.leaf.incarnation {
