--- a/anvilbench/faults.go
+++ b/anvilbench/faults.go
@@ -53,6 +53,15 @@
 	})
 }
 
+// chill empties the caches of leafs, which do not notice it themselves.
+func (f *fleet) chill(leafs []*leaf, at time.Duration) {
+	f.clock.at(at, func() {
+		for _, l := range leafs {
+			l.process.chill()
+		}
+	})
+}
+
 // restartLeafs replaces the processes of leafs; the new ones are cold.
 func (f *fleet) restartLeafs(leafs []*leaf, at time.Duration) {
 	f.clock.at(at, func() {
@@ -71,6 +80,25 @@
 // use the next address at once.
 func (f *fleet) loseNode(index int) {
 	f.nodes[index].end()
+	f.suspect(index)
+}
+
+// crashNode ends a node's process on a VM that goes on, so that its streams
+// break and new connections are refused.
+func (f *fleet) crashNode(index int) {
+	lost := f.nodes[index]
+	lost.refuses = true
+	lost.end()
+	for _, n := range f.nodes {
+		if n.index != index {
+			f.clock.at(f.network.arrival(lost, n, f.clock.now), func() { n.broke(lost) })
+		}
+	}
+	f.suspect(index)
+}
+
+// suspect lets the other nodes learn by and by that a node is gone.
+func (f *fleet) suspect(index int) {
 	for _, n := range f.nodes {
 		if n.index != index {
 			f.clock.after(f.between(detectLeast, detectMost), func() { n.usable[index] = f.nodes[index].named })
--- a/anvilbench/leaf.go
+++ b/anvilbench/leaf.go
@@ -74,7 +74,7 @@
 	// even if the leaf drops the snapshot.
 	from    holding
 	running bool
-	ended      bool
+	ended   bool
 }
 
 // newHolding returns a holding and its body, which repeats what it is from.
--- a/anvilbench/query.go
+++ b/anvilbench/query.go
@@ -17,6 +17,8 @@
 	node    *node
 	core    *anvilquery.Query
 	alarm   alarm
+	// tick is made once, because the alarm is set with every event.
+	tick func()
 	// sentAt is when the caller sent it, arrivedAt when it reached the node.
 	sentAt    time.Duration
 	arrivedAt time.Duration
@@ -72,6 +74,7 @@
 	}
 	core, actions := n.origin.Start(q.request, f.clock.time(), f.queryActions[:0])
 	q.core = core
+	q.tick = func() { n.tick(q) }
 	n.queries[core] = q
 	n.do(q, actions)
 }
@@ -92,7 +95,7 @@
 		}
 	}
 	if q != nil && q.finished == 0 {
-		q.alarm.arm(&n.fleet.clock, q.core.Next(), func() { n.tick(q) })
+		q.alarm.arm(&n.fleet.clock, q.core.Next(), q.tick)
 	}
 }
 
--- a/anvilbench/result.go
+++ b/anvilbench/result.go
@@ -73,6 +73,14 @@
 	LateAtNode   int
 	LateAtCaller int
 
+	// Sent counts calls for the stream, ShedCalls those that a dispatcher or leaf
+	// refused.
+	Sent      int
+	ShedCalls int
+	// Floor is the coverage floor, FloorMet counts answers that reach it.
+	Floor    float64
+	FloorMet int
+
 	coverage float64
 	latency  *hdrhistogram.Histogram
 }
@@ -95,6 +103,7 @@
 			r.Streams = append(r.Streams, &StreamResult{
 				Label:    stream.Label,
 				Deadline: stream.Class.Timeout,
+				Floor:    stream.Class.CoverageFloor,
 				Refused:  make(map[anvilmodel.RunState]int),
 				latency:  hdrhistogram.New(1, int64(latencyMost/latencyUnit), latencyDigits),
 			})
@@ -144,6 +153,9 @@
 	}
 	s.Answered++
 	s.coverage += a.Answer.Coverage.Ratio()
+	if a.Answer.Coverage.Ratio() >= s.Floor {
+		s.FloorMet++
+	}
 	full := a.Answer.Coverage.Covered == a.Answer.Coverage.Total
 	if full {
 		s.Full++
@@ -190,6 +202,16 @@
 	return ratio(float64(s.FullInTime), s.Offered-s.Lost)
 }
 
+// FloorShare returns the share of answers that reach the coverage floor.
+func (s *StreamResult) FloorShare() float64 {
+	return ratio(float64(s.FloorMet), s.Answered)
+}
+
+// ShedShare returns the share of the calls that a dispatcher or leaf refused.
+func (s *StreamResult) ShedShare() float64 {
+	return ratio(float64(s.ShedCalls), s.Sent)
+}
+
 // RefusedShare returns the share of the queries that were refused.
 func (s *StreamResult) RefusedShare() float64 {
 	total := 0
--- /dev/null
+++ b/anvilbench/table.go
@@ -0,0 +1,82 @@
+package anvilbench
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"anvilbridge/anvilmodel"
+)
+
+// fewAnswers is the number of answers under which a 99.9th percentile is the
+// largest value, so that it is marked.
+const fewAnswers = 1000
+
+// WriteStreams writes one row for each scenario, class and run, as Markdown.
+func WriteStreams(w io.Writer, results []*Result) {
+	writeRow(w, "scenario", "variant", "class", "queries", "p50 ms", "p99 ms", "p99.9 ms", "in time",
+		"full in time", "coverage", "full answers", "refused not-run / run / unknown", "late")
+	writeRule(w, 13)
+	for _, r := range results {
+		for _, s := range r.Streams {
+			writeStream(w, r, s)
+		}
+	}
+}
+
+func writeStream(w io.Writer, r *Result, s *StreamResult) {
+	mark := ""
+	if s.Answered < fewAnswers {
+		mark = " (max)"
+	}
+	writeRow(w, r.Scenario, r.Variant, s.Label, fmt.Sprint(s.Offered),
+		formatLatency(s, 50), formatLatency(s, 99), formatLatency(s, 99.9)+mark,
+		formatShare(s.InTimeShare()), formatShare(s.FullInTimeShare()),
+		formatShare(s.Coverage()), formatShare(s.FullShare()),
+		fmt.Sprintf("%d / %d / %d", s.Refused[anvilmodel.RunStateNotRun], s.Refused[anvilmodel.RunStateRun], s.Refused[anvilmodel.RunStateUnknown]),
+		fmt.Sprint(s.LateAtCaller))
+}
+
+// WriteRuns writes one row for each run, with what concerns all classes.
+func WriteRuns(w io.Writer, results []*Result) {
+	writeRow(w, "scenario", "variant", "broad p99 ms", "broad full in time", "broad coverage",
+		"urgent p99 ms", "urgent in time", "urgent at floor", "urgent coverage",
+		"patient p99 ms", "patient full in time", "extra load", "hedges", "retries", "moves / restarts",
+		"cold violations", "leaf sheds", "wrong parts / late")
+	writeRule(w, 18)
+	for _, r := range results {
+		writeRun(w, r)
+	}
+}
+
+func writeRun(w io.Writer, r *Result) {
+	broad, urgent, patient := r.Stream("broad"), r.Stream("urgent"), r.Stream("patient")
+	late := 0
+	for _, s := range r.Streams {
+		late += s.LateAtCaller
+	}
+	writeRow(w, r.Scenario, r.Variant,
+		formatLatency(&broad, 99), formatShare(broad.FullInTimeShare()), formatShare(broad.Coverage()),
+		formatLatency(&urgent, 99), formatShare(urgent.InTimeShare()), formatShare(urgent.FloorShare()), formatShare(urgent.Coverage()),
+		formatLatency(&patient, 99), formatShare(patient.FullInTimeShare()),
+		formatShare(r.Extra()), formatShare(ratio(float64(r.Hedges), r.Primaries)), formatShare(ratio(float64(r.Retries), r.Primaries)),
+		fmt.Sprintf("%d / %d", r.Counters.Moves, r.Counters.Restarts),
+		fmt.Sprint(r.ColdViolations), fmt.Sprint(r.LeafSheds), fmt.Sprintf("%d / %d", r.WrongParts, late))
+}
+
+func writeRow(w io.Writer, cells ...string) {
+	// A failed write shows in the missing output.
+	_, _ = fmt.Fprintf(w, "| %s |\n", strings.Join(cells, " | "))
+}
+
+func writeRule(w io.Writer, columns int) {
+	writeRow(w, strings.Split(strings.Repeat("---,", columns-1)+"---", ",")...)
+}
+
+func formatLatency(s *StreamResult, percent float64) string {
+	return fmt.Sprintf("%.1f", milliseconds(s.Latency(percent)))
+}
+
+func formatShare(share float64) string {
+	return fmt.Sprintf("%.1f%%", 100*share)
+}
