Add the frame of the capacity measurements

The design size of 410 nodes has to be judged on paper from measured slopes. There are no measurements yet.

--- a/anvilcommand/command.go
+++ b/anvilcommand/command.go
@@ -20,6 +20,8 @@
 	Status  statusCommand  `cmd:"" help:"Show the state of a node."`
 	StandIn standInCommand `cmd:"" name:"stand-in" help:"Run small fakes of the platform and the upstreams in the foreground."`
 	Demo    demoCommand    `cmd:"" help:"Run fakes and several nodes in one process and show how they act under load and faults."`
+
+	Capacity capacityCommand `cmd:"" help:"Measure how costs grow with sizes, and compare them with the limits at the design size."`
 }
 
 // output is where commands write.
