Measure the membership cores against the number of members

The bytes, messages, CPU and memory of the membership at 410 nodes were only estimated. The cores exchange messages on virtual time, as anvilnode lets them.

--- a/anvilcapacity/fit.go
+++ b/anvilcapacity/fit.go
@@ -9,7 +9,7 @@
 	// RSquared is the share of the variance that the line explains, from 0 to 1.
 	RSquared float64
 	// Deviation is the largest distance of a value from the line, relative to
-	// the value.
+	// the largest value.
 	Deviation float64
 }
 
@@ -32,10 +32,13 @@
 	if yy > 0 {
 		f.RSquared = xy * xy / (xx * yy)
 	}
+	largest, distance := 0.0, 0.0
 	for i, x := range sizes {
-		if distance := math.Abs(values[i] - f.At(x)); distance > 0 {
-			f.Deviation = max(f.Deviation, distance/math.Abs(values[i]))
-		}
+		largest = max(largest, math.Abs(values[i]))
+		distance = max(distance, math.Abs(values[i]-f.At(x)))
+	}
+	if distance > 0 {
+		f.Deviation = distance / largest
 	}
 	return f
 }
--- a/anvilcapacity/run.go
+++ b/anvilcapacity/run.go
@@ -48,7 +48,9 @@
 }
 
 func measurements() []measurement {
-	return []measurement{}
+	return []measurement{
+		{name: "membership", run: measureMembership},
+	}
 }
 
 // Names returns the names of the measurements.
