--- a/anvilcapacity/deployment.go
+++ b/anvilcapacity/deployment.go
@@ -91,8 +91,8 @@
 	return renderBase(slots, all, padding)
 }
 
-// renderBase writes a base file. A comment line of the padded length, line end
-// included, goes before each leaf.
+// renderBase writes a base file. Comment lines of the padded length together,
+// line ends included, go before each leaf.
 func renderBase(slots int, leafs []anvilmodel.Leaf, padding []int) []byte {
 	var b strings.Builder
 	b.WriteString("sites: [north, south]\nfailure-domains:\n")
@@ -110,11 +110,26 @@
 			service = l.Service
 			fmt.Fprintf(&b, "  %s:\n    slots: %d\n    connections: %d\n    leafs:\n", service, serviceSlots, serviceConnections)
 		}
-		if padding != nil && padding[i] > 1 {
-			b.WriteString("#" + strings.Repeat("-", padding[i]-2) + "\n")
+		if padding != nil {
+			writeComments(&b, string(l.Name), padding[i])
 		}
 		fmt.Fprintf(&b, "      %s: {address: \"%s\", failure-domain: %s}\n", l.Name, l.Address, l.FailureDomain)
 	}
 	b.WriteString("classes:\n  buyers: {mode: broad, timeout: 110ms}\n  crews: {mode: urgent, timeout: 60ms, coverage-floor: 0.8}\n")
 	return []byte(b.String())
 }
+
+// commentLine is the length of a comment line with its end, as most lines of a
+// configuration have. Longer ones would give larger chunks.
+const commentLine = 60
+
+// writeComments writes different comment lines of a total length, but for a
+// rest below 2 bytes.
+func writeComments(b *strings.Builder, text string, length int) {
+	for k := 0; length > 1; k++ {
+		n := min(length, commentLine)
+		line := fmt.Sprintf("#%d %s %s", k, text, strings.Repeat(".", commentLine))
+		b.WriteString(line[:n-1] + "\n")
+		length -= n
+	}
+}
--- /dev/null
+++ b/anvilcapacity/peer.go
@@ -0,0 +1,282 @@
+package anvilcapacity
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilpeer"
+	"anvilbridge/anvilrevision"
+)
+
+// peerTimeout bounds one exchange of a measurement.
+const peerTimeout = 10 * time.Second
+
+// freshAddresses lets a client dial anew for each exchange. A node at the
+// design size does so too: it asks 409 members in turn and keeps at most 64 idle
+// connections (anvilpeer/client.go).
+type freshAddresses struct {
+	server netip.AddrPort
+	next   int
+}
+
+// address returns an address that was not used before. Only the server's is real.
+func (f *freshAddresses) address() netip.AddrPort {
+	f.next++
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 99, byte(f.next >> 8), byte(f.next)}), 7001)
+}
+
+func (f *freshAddresses) dialer(w *wireCounter) anvilpeer.DialFunc {
+	return func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+		return w.dial(ctx, f.server)
+	}
+}
+
+// measurePeer measures control exchanges between nodes over drpc.
+func measurePeer(ctx context.Context, _ uint64) ([]Slope, error) {
+	var states []anvilmodel.LeafState
+	server, err := startPeerServer(anvilpeer.Handlers{
+		Probe: func(_ context.Context, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool) {
+			return anvilmember.ProbeReply{
+				From: q.From,
+				News: q.News,
+			}, true
+		},
+		LeafStates: func(uint64) ([]anvilmodel.LeafState, uint64) { return states, 1_000_000 },
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer server.close()
+	probes, err := measureProbes(ctx, server.address)
+	if err != nil {
+		return nil, err
+	}
+	exchanges, err := measureStates(ctx, server.address, &states)
+	return append(probes, exchanges...), err
+}
+
+// probeOf returns a probe with news.
+func probeOf(items int) anvilmember.ProbeRequest {
+	q := anvilmember.ProbeRequest{}
+	for i, m := range designMembers(items + 1) {
+		item := anvilmember.Item{
+			Member:  m,
+			Version: 1_000_000,
+		}
+		if i == 0 {
+			q.From = item
+			continue
+		}
+		// News of listed members leave the place out.
+		item.Member.FailureDomain = ""
+		item.Member.CallerAddress = netip.AddrPort{}
+		item.Member.PeerAddress = netip.AddrPort{}
+		q.News = append(q.News, item)
+	}
+	return q
+}
+
+func measureProbes(ctx context.Context, server netip.AddrPort) ([]Slope, error) {
+	items := []int{0, 3, 6, 8}
+	bytes := Slope{
+		Name:     "peer-probe-bytes",
+		What:     "probe and reply on a fresh connection, both directions together, without TCP and IP headers",
+		Kind:     KindCount,
+		Unit:     "bytes",
+		SizeName: "encoded bytes of probe and reply",
+		Targets: []Target{
+			{What: "probes and replies sent, 2 exchanges a second of 1,150 bytes", Size: 1150, Factor: 2, Unit: "bytes/s", Limit: designBytes, Budget: BudgetControlSent},
+			{What: "the same received", Size: 1150, Factor: 2, Unit: "bytes/s", Limit: designBytes, Budget: BudgetControlReceived},
+		},
+	}
+	for _, n := range items {
+		q := probeOf(n)
+		reply := anvilmember.ProbeReply{
+			From: q.From,
+			News: q.News,
+		}
+		w := &wireCounter{}
+		if err := exchange(ctx, w, server, 1, func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
+			_, err := c.Probe(ctx, to, q)
+			return err
+		}); err != nil {
+			return nil, err
+		}
+		bytes.Sizes = append(bytes.Sizes, float64(anvilmember.RequestSize(q)+anvilmember.ReplySize(reply)))
+		bytes.Values = append(bytes.Values, w.bytes())
+	}
+	cpu, err := exchangeCPU(ctx, server, "peer-probe-cpu", "probes with 8 items and their replies, both nodes, each on a fresh connection",
+		Target{What: "2 probes sent and 2 answered a second", Size: 2, Rate: true, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU},
+		func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
+			_, err := c.Probe(ctx, to, probeOf(8))
+			return err
+		})
+	if err != nil {
+		return nil, err
+	}
+	announces, err := measureAnnounces(ctx, server)
+	return []Slope{bytes, cpu, announces}, err
+}
+
+// measureAnnounces measures announcements of a revision.
+func measureAnnounces(ctx context.Context, server netip.AddrPort) (Slope, error) {
+	sizes := []int{1, 2, announceCount}
+	s := Slope{
+		Name:     "peer-announce-bytes",
+		What:     "announcements of a revision on fresh connections, both directions together, without TCP and IP headers",
+		Kind:     KindCount,
+		Unit:     "bytes",
+		SizeName: "announcements",
+		Sizes:    floats(sizes),
+	}
+	for _, budget := range []BudgetName{BudgetControlSent, BudgetControlReceived} {
+		s.Targets = append(s.Targets, Target{
+			What:   "4 announcements made and taken at each of 230 changes a day",
+			Size:   announceCount,
+			Factor: changesPerSec,
+			Unit:   "bytes/s",
+			Limit:  designBytes,
+			Budget: budget,
+		})
+	}
+	from := probeOf(0).From
+	for _, n := range sizes {
+		w := &wireCounter{}
+		err := exchange(ctx, w, server, n, func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
+			_, err := c.Announce(ctx, to, from, anvilrevision.Revision{
+				Version: 100_000,
+			})
+			return err
+		})
+		if err != nil {
+			return s, err
+		}
+		s.Values = append(s.Values, w.bytes())
+	}
+	return s, nil
+}
+
+// exchange runs exchanges on fresh connections.
+func exchange(ctx context.Context, w *wireCounter, server netip.AddrPort, count int, one func(context.Context, *anvilpeer.Client, netip.AddrPort) error) error {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	fresh := freshAddresses{
+		server: server,
+	}
+	client := anvilpeer.NewClient(anvilpeer.ClientConfig{
+		Dial: fresh.dialer(w),
+	})
+	defer func() { _ = client.Close() }()
+	for range count {
+		if err := one(ctx, client, fresh.address()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// exchangeCPU measures the CPU time of exchanges against their number.
+func exchangeCPU(ctx context.Context, server netip.AddrPort, name, what string, target Target, one func(context.Context, *anvilpeer.Client, netip.AddrPort) error) (Slope, error) {
+	sizes := []int{100, 200, 400}
+	s := Slope{
+		Name:     name,
+		What:     what,
+		Kind:     KindCPU,
+		Unit:     "s",
+		SizeName: "exchanges",
+		Sizes:    floats(sizes),
+		Targets:  []Target{target},
+	}
+	var err error
+	for _, n := range sizes {
+		s.Values = append(s.Values, leastCPU(func() {
+			if err == nil {
+				err = exchange(ctx, &wireCounter{}, server, n, one)
+			}
+		}))
+	}
+	return s, err
+}
+
+// designState is a leaf state as a node passes it on.
+func designState(i int) anvilmodel.LeafState {
+	l := deploymentLeafs(i + 1)[i]
+	return anvilmodel.LeafState{
+		Leaf:        l.Name,
+		Incarnation: 1_700_000_000_000,
+		Load:        1.0 / 3,
+		Judged:      true,
+		Age:         250 * time.Millisecond,
+		Holdings: []anvilmodel.Holding{{
+			Snapshot: 20_250_611,
+			Shard:    anvilmodel.Shard(i % serviceShards),
+			Shards:   serviceShards,
+		}},
+	}
+}
+
+// measureStates measures the exchange of leaf states.
+func measureStates(ctx context.Context, server netip.AddrPort, states *[]anvilmodel.LeafState) ([]Slope, error) {
+	sizes := []int{0, 8, 22, 44}
+	ask := func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
+		_, _, err := c.LeafStates(ctx, to, 1_000_000)
+		return err
+	}
+	rate := func(what string, size float64, budget BudgetName) Target {
+		return Target{What: what, Size: size, Factor: exchangesPerSec, Unit: "bytes/s", Limit: designBytes, Budget: budget}
+	}
+	bytes := Slope{
+		Name:     "leafstates-bytes",
+		What:     "one exchange on a fresh connection, both directions together, without TCP and IP headers",
+		Kind:     KindCount,
+		Unit:     "bytes",
+		SizeName: "changed states",
+		Sizes:    floats(sizes),
+		Targets: []Target{
+			rate("sent, all states changed (loads do within 16 s)", nodeDispatchers, BudgetControlSent),
+			rate("received, all states changed", nodeDispatchers, BudgetControlReceived),
+			rate("sent, no state changed", 0, ""),
+		},
+	}
+	for _, n := range sizes {
+		*states = nil
+		for i := range n {
+			*states = append(*states, designState(i))
+		}
+		w := &wireCounter{}
+		if err := exchange(ctx, w, server, 1, ask); err != nil {
+			return nil, err
+		}
+		bytes.Values = append(bytes.Values, w.bytes())
+	}
+	*states = (*states)[:22]
+	cpu, err := exchangeCPU(ctx, server, "leafstates-cpu", "exchanges of 22 states, both nodes, each on a fresh connection",
+		Target{What: "exchanges asked and answered in a second", Size: exchangesPerSec, Rate: true, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}, ask)
+	if err != nil {
+		return nil, err
+	}
+	*states = nil
+	empty, err := exchangeCPU(ctx, server, "leafstates-empty-cpu", "exchanges of no state, both nodes, each on a fresh connection",
+		Target{What: "exchanges asked and answered in a second", Size: exchangesPerSec, Rate: true, Unit: "cores", Limit: designCPU}, ask)
+	if err != nil {
+		return nil, err
+	}
+	pooled, err := measurePooled(ctx, server)
+	return []Slope{bytes, cpu, empty, pooled}, err
+}
+
+// measurePooled measures exchanges on one kept connection, for comparison.
+func measurePooled(ctx context.Context, server netip.AddrPort) (Slope, error) {
+	client := anvilpeer.NewClient(anvilpeer.ClientConfig{})
+	defer func() { _ = client.Close() }()
+	return exchangeCPU(ctx, server, "leafstates-kept-cpu", "exchanges of no state, both nodes, on one kept connection",
+		Target{What: "exchanges asked and answered in a second", Size: exchangesPerSec, Rate: true, Unit: "cores", Limit: designCPU},
+		func(ctx context.Context, _ *anvilpeer.Client, _ netip.AddrPort) error {
+			_, _, err := client.LeafStates(ctx, server, 1_000_000)
+			return err
+		})
+}
--- a/anvilcapacity/run.go
+++ b/anvilcapacity/run.go
@@ -50,6 +50,15 @@
 func measurements() []measurement {
 	return []measurement{
 		{name: "membership", run: measureMembership},
+		{name: "peer", run: measurePeer},
+		{name: "assignment", run: measureAssignment},
+		{name: "query", run: measureQuery},
+		{name: "dispatcher", run: measureDispatcher},
+		{name: "relay", run: measureRelay},
+		{name: "upstream", run: measureUpstream},
+		{name: "configuration", run: measureConfiguration},
+		{name: "spread", run: measureSpread},
+		{name: "ticket", run: measureTicket},
 	}
 }
 
--- a/anvilcapacity/slope.go
+++ b/anvilcapacity/slope.go
@@ -45,6 +45,9 @@
 	// 0 means 1.
 	Size   float64
 	Factor float64
+	// Rate takes the slope times the size, without the intercept: the cost of so
+	// many operations a second.
+	Rate bool
 	// Unit is that of the figure and the limit.
 	Unit string
 	// Limit is 0 if there is none.
@@ -63,7 +66,9 @@
 	for i := range s.Targets {
 		t := &s.Targets[i]
 		value := s.Fit.At(t.Size)
-		if k := slices.Index(s.Sizes, t.Size); k >= 0 {
+		if t.Rate {
+			value = s.Fit.Slope * t.Size
+		} else if k := slices.Index(s.Sizes, t.Size); k >= 0 {
 			t.Measured = true
 			value = s.Values[k]
 		}
--- a/anvilcapacity/text.go
+++ b/anvilcapacity/text.go
@@ -52,11 +52,14 @@
 
 // String returns the figure, how it was found, its limit and the verdict.
 func (t Target) String() string {
-	how := "from the line"
-	if t.Measured {
-		how = "measured"
+	how := "from the line at"
+	switch {
+	case t.Rate:
+		how = "slope times"
+	case t.Measured:
+		how = "measured at"
 	}
-	text := fmt.Sprintf("design: %s: %s %s (%s at %s", t.What, Figure(t.Figure), t.Unit, how, Figure(t.Size))
+	text := fmt.Sprintf("design: %s: %s %s (%s %s", t.What, Figure(t.Figure), t.Unit, how, Figure(t.Size))
 	if t.Factor != 1 {
 		text += ", times " + Figure(t.Factor)
 	}
--- /dev/null
+++ b/anvilcapacity/wire.go
@@ -0,0 +1,125 @@
+package anvilcapacity
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilpeer"
+	"anvilbridge/anvilrevision"
+)
+
+// wireCounter counts what goes over connections, without TCP and IP headers.
+type wireCounter struct {
+	sent     atomic.Int64
+	received atomic.Int64
+	writes   atomic.Int64
+	dials    atomic.Int64
+}
+
+func (w *wireCounter) bytes() float64 {
+	return float64(w.sent.Load() + w.received.Load())
+}
+
+// dial opens a counted connection.
+func (w *wireCounter) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	w.dials.Add(1)
+	return &countedConn{
+		Conn:    conn,
+		counter: w,
+	}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counter *wireCounter
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.received.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.sent.Add(int64(n))
+	c.counter.writes.Add(1)
+	return n, err
+}
+
+// peerServer is the node-to-node server of one node on a loopback address.
+type peerServer struct {
+	address netip.AddrPort
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// startPeerServer serves handlers; those left out answer nothing.
+func startPeerServer(h anvilpeer.Handlers) (*peerServer, error) {
+	fillHandlers(&h)
+	server, err := anvilpeer.NewServer(h)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &peerServer{
+		address: listener.Addr().(*net.TCPAddr).AddrPort(),
+		stop:    stop,
+	}
+	s.done.Go(func() {
+		// It returns when the context ends.
+		_ = server.Serve(ctx, listener)
+	})
+	return s, nil
+}
+
+func (s *peerServer) close() {
+	s.stop()
+	s.done.Wait()
+}
+
+func fillHandlers(h *anvilpeer.Handlers) {
+	if h.Incarnation == nil {
+		h.Incarnation = func() anvilmodel.Incarnation { return peerIncarnation }
+	}
+	if h.Submit == nil {
+		h.Submit = func(anvilmodel.Call, func(anvilmodel.CallReply)) {}
+	}
+	if h.Cancel == nil {
+		h.Cancel = func(anvilmodel.CallID) {}
+	}
+	if h.Probe == nil {
+		h.Probe = func(context.Context, anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool) {
+			return anvilmember.ProbeReply{}, false
+		}
+	}
+	if h.Announce == nil {
+		h.Announce = func(anvilmember.Item, uint64) uint64 { return 0 }
+	}
+	if h.Manifest == nil {
+		h.Manifest = func() anvilrevision.Manifest { return anvilrevision.Manifest{} }
+	}
+	if h.Chunk == nil {
+		h.Chunk = func(anvilrevision.Hash) []byte { return nil }
+	}
+	if h.LeafStates == nil {
+		h.LeafStates = func(uint64) ([]anvilmodel.LeafState, uint64) { return nil, 0 }
+	}
+}
+
+// peerIncarnation is the incarnation of the nodes that measurements connect to.
+const peerIncarnation anvilmodel.Incarnation = 1_700_000_000_000
--- a/anvilcommand/capacity.go
+++ b/anvilcommand/capacity.go
@@ -64,6 +64,7 @@
 	Size     float64      `json:"size"`
 	Factor   float64      `json:"factor"`
 	Measured bool         `json:"measured"`
+	Rate     bool         `json:"rate"`
 	Figure   float64      `json:"figure"`
 	Unit     string       `json:"unit"`
 	Budget   string       `json:"budget,omitempty"`
@@ -129,6 +130,7 @@
 			Size:     t.Size,
 			Factor:   t.Factor,
 			Measured: t.Measured,
+			Rate:     t.Rate,
 			Figure:   t.Figure,
 			Unit:     t.Unit,
 			Budget:   string(t.Budget),
