Follow the relay client in the capacity measurements

Cause: calls are now queued first and sent together. Change: the measurement queues a batch and flushes it. Conclusion: the tree builds.

--- a/anvilcapacity/relay.go
+++ b/anvilcapacity/relay.go
@@ -106,8 +106,9 @@
 func (p *relayPair) send(count, body int) {
 	for range count {
 		p.attempt++
-		p.client.Send(peerIncarnation, designCall(p.attempt, body))
+		p.client.Enqueue(peerIncarnation, designCall(p.attempt, body))
 	}
+	p.client.Flush()
 }
 
 func (p *relayPair) await(count int) error {
