--- a/anvilbench/decision.go
+++ b/anvilbench/decision.go
@@ -71,7 +71,7 @@
 		},
 		{
 			Name:         "return reserve",
-			Scenario:     "sfax/slow-leafs-5%",
+			Scenario:     "sfax/hedge-storm",
 			Alternatives: []Variant{reserve("2ms, the default", 2*time.Millisecond), Policy()},
 		},
 	}
