Judge revisions outside the control lock and spread refusals

Cause: validating 1 MB ran under the lock that probes need; a node that does not watch the service never learned of a refused revision; a fresh node could serve other content of a version than the fleet; actions of two revisions could be carried out in the wrong order; fetched data was not bounded. Change: Offer screens, Task.Run works without the lock, HandleResult screens again and accepts. Announcements are exchanges of states with digests and the highest refused revision, which peers fetch and judge as well. A fresh node exchanges states with the other VMs one by one. Manifests, chunks and requests are bounded. A node whose site a revision does not declare takes what is shared of it and refuses queries.

--- a/anvilnode/control.go
+++ b/anvilnode/control.go
@@ -156,7 +156,7 @@
 		m.UpdateSelf(anvilmember.SelfState{
 			Load:        n.admission.load(),
 			Revision:    n.keeper.InForce().Version,
-			Serving:     n.keeper.Ready(),
+			Serving:     n.keeper.Ready() && n.undeclaredSite() == "",
 			Leaving:     n.leaving.Load(),
 			TicketEpoch: epoch,
 		}, now, a)
--- a/anvilnode/handlers.go
+++ b/anvilnode/handlers.go
@@ -29,10 +29,10 @@
 		Cancel:      n.cancelCall,
 		Probe:       n.answerProbe,
 		Announce:    n.answerAnnounce,
-		Manifest: func() anvilrevision.Manifest {
+		Manifest: func(version uint64) anvilrevision.Manifest {
 			n.control.Lock()
 			defer n.control.Unlock()
-			return n.keeper.Manifest()
+			return n.keeper.Manifest(version)
 		},
 		Chunk: func(h anvilrevision.Hash) []byte {
 			n.control.Lock()
--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -60,6 +60,10 @@
 
 	memberView atomic.Pointer[memberView]
 	view       atomic.Pointer[view]
+	// applyLock is held while a revision is put into force, and guards the
+	// number of the last one.
+	applyLock sync.Mutex
+	applied   uint64
 
 	originLock sync.Mutex
 	origin     *anvilquery.Origin
@@ -150,6 +154,7 @@
 		Self:       c.Name,
 		Judge:      judge,
 		ServeAlone: c.ServeAlone,
+		Random:     mathrand.New(mathrand.NewPCG(seed, 3)),
 	}, now)
 	n.memberView.Store(newMemberView(n.members.Members()))
 	n.peers = anvilpeer.NewClient(anvilpeer.ClientConfig{
--- a/anvilnode/platform.go
+++ b/anvilnode/platform.go
@@ -1,13 +1,9 @@
 package anvilnode
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"anvilbridge/anvilconfig"
 	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
@@ -17,9 +13,6 @@
 const (
 	// watchWait is how long the configuration service holds a watch open.
 	watchWait = 20 * time.Second
-	// watchersPerDomain is the number of nodes of a failure domain that watch
-	// the configuration service.
-	watchersPerDomain = 3
 	// platformRetry is the time between two tries of a failed read.
 	platformRetry = time.Second
 	// listIntervalPerMember keeps the fleet's reads of the VM list below 20 a
@@ -30,60 +23,45 @@
 // runWatch watches the configuration service while this node is one of the
 // watchers of its failure domain.
 func (n *Node) runWatch() {
-	var after uint64
 	for n.background.Err() == nil {
-		if !n.watches() {
-			n.pause(platformRetry)
-			continue
-		}
-		version, ok := n.readConfig(after, watchWait)
-		if !ok {
+		if !n.watches() || !n.readConfig(n.readAfter(), watchWait) {
 			n.pause(platformRetry)
-			continue
 		}
-		after = max(after, version)
 	}
 }
 
-// watches reports whether this node ranks among the watchers of its failure
-// domain. Nodes with different views may have more or fewer watchers for a
-// while, which costs a few reads or is covered by reads of silent nodes.
+// readAfter returns the version for the next read of the service.
+func (n *Node) readAfter() uint64 {
+	n.control.Lock()
+	defer n.control.Unlock()
+	return n.keeper.After(time.Now())
+}
+
 func (n *Node) watches() bool {
-	type ranked struct {
-		name anvilmodel.VMName
-		rank uint64
-	}
-	candidates := []ranked{}
+	domain := []anvilmodel.VMName{n.config.Name}
 	for _, m := range n.memberView.Load().all {
-		if m.FailureDomain != n.config.FailureDomain || (m.Name != n.config.Name && !usable(m)) {
-			continue
-		}
-		candidates = append(candidates, ranked{
-			name: m.Name,
-			rank: xxhash.Sum64String("watch/" + string(m.Name)),
-		})
-	}
-	slices.SortFunc(candidates, func(r, s ranked) int { return cmp.Compare(r.rank, s.rank) })
-	for _, c := range candidates[:min(watchersPerDomain, len(candidates))] {
-		if c.name == n.config.Name {
-			return true
+		if m.FailureDomain == n.config.FailureDomain && m.Name != n.config.Name && usable(m) {
+			domain = append(domain, m.Name)
 		}
 	}
-	return len(candidates) == 0
+	return anvilrevision.Watches(n.config.Name, domain)
 }
 
 // readConfig reads the configuration service and offers what it returns. It
-// returns the version read.
-func (n *Node) readConfig(after uint64, wait time.Duration) (uint64, bool) {
+// reports whether the service answered.
+func (n *Node) readConfig(after uint64, wait time.Duration) bool {
 	sent := time.Now()
 	read, err := n.platform.ReadConfig(n.background, after, wait)
 	if err != nil {
 		n.config.Log.Warn().Str("event", "config-read-failed").Err(err).Send()
-		return 0, false
+		return false
 	}
 	n.heardPlatform(sent)
 	if read.NotModified {
-		return after, true
+		n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+			return k.HandleUnchanged(after, sent, now)
+		})
+		return true
 	}
 	documents := make([]anvilconfig.Document, 0, len(read.Documents))
 	for _, d := range read.Documents {
@@ -93,9 +71,9 @@
 		})
 	}
 	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
-		return k.Offer(read.Version, documents, anvilrevision.Source{}, now)
+		return k.Offer(read.Version, documents, sent, now)
 	})
-	return read.Version, true
+	return true
 }
 
 func (n *Node) heardPlatform(sent time.Time) {
@@ -129,14 +107,18 @@
 	n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		m.SetList(listed, now, a)
 	})
-	others := []anvilmodel.VMName{}
+	var live, leaving []anvilmodel.VMName
 	for _, vm := range listed {
-		if vm.Name != n.config.Name && !vm.Leaving {
-			others = append(others, vm.Name)
+		switch {
+		case vm.Name == n.config.Name:
+		case vm.Leaving:
+			leaving = append(leaving, vm.Name)
+		default:
+			live = append(live, vm.Name)
 		}
 	}
-	n.withKeeper(func(k *anvilrevision.Keeper, _ time.Time) []anvilrevision.Action {
-		return k.SetListed(others)
+	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+		return k.SetListed(live, leaving, now)
 	})
 }
 
--- a/anvilnode/query.go
+++ b/anvilnode/query.go
@@ -91,12 +91,12 @@
 		return "the node has not announced its incarnation yet"
 	}
 	n.control.Lock()
-	ready := n.keeper.Ready()
+	waiting := n.keeper.Waiting()
 	n.control.Unlock()
-	if !ready {
-		return "the node has no configuration that it may serve yet"
+	if waiting != "" {
+		return waiting
 	}
-	return ""
+	return n.undeclaredSite()
 }
 
 // validate checks a query against the configuration.
--- a/anvilnode/revisions.go
+++ b/anvilnode/revisions.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// announceCount is the number of peers told at once of a new revision.
-	announceCount = 4
 	// peerTimeout bounds a request to another node that is not a probe.
 	peerTimeout = time.Second
 	// revisionTick is the time between two ticks of the revision keeper.
@@ -26,15 +24,18 @@
 // other documents are overlays.
 const baseDocument = "base"
 
-// judge validates the documents of a revision.
+// judge validates the documents of a revision, which are in order of name. A
+// second base file counts as an overlay and gets a finding for its name.
 func judge(documents []anvilconfig.Document) anvilrevision.Judgement {
 	base := anvilconfig.Document{
 		Name: baseDocument,
 	}
+	found := false
 	overlays := []anvilconfig.Document{}
 	for _, d := range documents {
-		if d.Name == baseDocument {
+		if d.Name == baseDocument && !found {
 			base = d
+			found = true
 			continue
 		}
 		overlays = append(overlays, d)
@@ -75,16 +76,18 @@
 
 func (n *Node) carryOutRevision(a anvilrevision.Action) {
 	switch a.Kind {
+	case anvilrevision.ActionRun:
+		n.goRun(func() { n.runTask(a.Task) })
 	case anvilrevision.ActionApply:
 		n.apply(a)
 	case anvilrevision.ActionAnnounce:
-		n.announce(a.Revision)
+		n.announce(a)
 	case anvilrevision.ActionFetchManifest:
-		n.goRun(func() { n.fetchManifest(a.Peer) })
+		n.goRun(func() { n.fetchManifest(a) })
 	case anvilrevision.ActionFetchChunks:
 		n.goRun(func() { n.fetchChunks(a) })
 	case anvilrevision.ActionRead:
-		n.goRun(func() { n.readConfig(0, 0) })
+		n.goRun(func() { n.readConfig(a.After, 0) })
 	case anvilrevision.ActionRefused:
 		n.recordRefused(a)
 	case anvilrevision.ActionStale:
@@ -124,35 +127,69 @@
 	})
 }
 
-// announce tells a few members of the revision in force. Every node that
-// accepts it does the same, so that it reaches the fleet in a few rounds.
-func (n *Node) announce(revision anvilrevision.Revision) {
-	for _, m := range n.randomMembers(announceCount) {
-		n.goRun(func() {
-			ctx, cancel := context.WithTimeout(n.background, peerTimeout)
-			defer cancel()
-			from := anvilmember.Item{
-				Member: n.memberView.Load().self,
-			}
-			version, err := n.peers.Announce(ctx, m.PeerAddress, from, revision)
-			if err != nil {
-				return
-			}
-			n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
-				return k.Heard(m.Name, version, m.Serving, now)
-			})
-		})
+// runTask judges a revision without holding the control lock: 1 MB takes a
+// quarter of a second, in which probes have to be answered.
+func (n *Node) runTask(t *anvilrevision.Task) {
+	result := t.Run()
+	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+		return k.HandleResult(result, now)
+	})
+}
+
+// announce exchanges states with one named member, or with some drawn at random.
+func (n *Node) announce(a anvilrevision.Action) {
+	if a.Peer == "" {
+		for _, m := range n.randomMembers(a.Count) {
+			n.goRun(func() { n.exchange(m.Name, m.PeerAddress) })
+		}
+		return
 	}
+	address, ok := n.peerAddress(a.Peer)
+	if !ok {
+		n.exchangeFailed(a.Peer)
+		return
+	}
+	n.goRun(func() { n.exchange(a.Peer, address) })
+}
+
+func (n *Node) exchange(peer anvilmodel.VMName, address netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(n.background, peerTimeout)
+	defer cancel()
+	from := anvilmember.Item{
+		Member: anvilmodel.Member{
+			Name: n.config.Name,
+		},
+	}
+	state, err := n.peers.Announce(ctx, address, from, n.revisionState())
+	if err != nil {
+		n.exchangeFailed(peer)
+		return
+	}
+	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+		return k.HandleExchange(peer, state, now)
+	})
+}
+
+func (n *Node) exchangeFailed(peer anvilmodel.VMName) {
+	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+		return k.HandleExchangeFailure(peer, now)
+	})
+}
+
+func (n *Node) revisionState() anvilrevision.State {
+	n.control.Lock()
+	defer n.control.Unlock()
+	return n.keeper.State()
 }
 
 // answerAnnounce handles a peer's announcement.
-func (n *Node) answerAnnounce(from anvilmember.Item, version uint64) uint64 {
-	var inForce uint64
+func (n *Node) answerAnnounce(from anvilmember.Item, s anvilrevision.State) anvilrevision.State {
+	var state anvilrevision.State
 	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
-		inForce = k.InForce().Version
-		return k.Heard(from.Member.Name, version, from.Member.Serving, now)
+		state = k.State()
+		return k.HandleExchange(from.Member.Name, s, now)
 	})
-	return inForce
+	return state
 }
 
 // heardRevision takes the revision that a probe or its reply carries.
@@ -165,26 +202,26 @@
 	})
 }
 
-func (n *Node) fetchManifest(peer anvilmodel.VMName) {
-	ctx, cancel := context.WithTimeout(n.background, peerTimeout)
+func (n *Node) fetchManifest(a anvilrevision.Action) {
+	ctx, cancel := context.WithTimeout(n.background, a.Timeout)
 	defer cancel()
-	address, ok := n.peerAddress(peer)
+	address, ok := n.peerAddress(a.Peer)
 	if !ok {
-		n.fetchFailed(peer)
+		n.fetchFailed(a.Peer)
 		return
 	}
-	manifest, err := n.peers.Manifest(ctx, address)
+	manifest, err := n.peers.Manifest(ctx, address, a.Revision.Version)
 	if err != nil {
-		n.fetchFailed(peer)
+		n.fetchFailed(a.Peer)
 		return
 	}
 	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
-		return k.HandleManifest(peer, manifest, now)
+		return k.HandleManifest(a.Peer, manifest, now)
 	})
 }
 
 func (n *Node) fetchChunks(a anvilrevision.Action) {
-	ctx, cancel := context.WithTimeout(n.background, peerTimeout)
+	ctx, cancel := context.WithTimeout(n.background, a.Timeout)
 	defer cancel()
 	address, ok := n.peerAddress(a.Peer)
 	if !ok {
--- a/anvilnode/view.go
+++ b/anvilnode/view.go
@@ -15,9 +15,12 @@
 type view struct {
 	revision anvilrevision.Revision
 	settings *anvilconfig.Settings
-	table    *anvilassign.Table
-	out      []anvilmodel.FailureDomain
-	applied  time.Time
+	// undeclared is set when the configuration does not declare this node's
+	// site. The settings are then those of another site.
+	undeclared bool
+	table      *anvilassign.Table
+	out        []anvilmodel.FailureDomain
+	applied    time.Time
 }
 
 // isOut reports whether operators have taken a failure domain out.
@@ -25,23 +28,43 @@
 	return v.settings.DomainOut(domain)
 }
 
-// apply puts a revision into force.
+// siteSettings returns the settings of a site. Whether a site is declared is no
+// part of the verdict on a revision, because nodes of other sites would judge
+// otherwise. A node of a site that is not declared takes the settings of the
+// first one: what nodes must agree on, such as entry slots, leafs and failure
+// domains taken out, is the same at all sites. It refuses queries.
+func siteSettings(r *anvilconfig.Release, site anvilconfig.SiteName) (settings *anvilconfig.Settings, declared bool) {
+	if settings = r.Site(site); settings != nil {
+		return settings, true
+	}
+	return r.Site(r.Sites()[0]), false
+}
+
+// undeclaredSite returns why the node must refuse queries although it has a
+// configuration, or "".
+func (n *Node) undeclaredSite() string {
+	if v := n.view.Load(); v != nil && v.undeclared {
+		return fmt.Sprintf("revision %d does not declare the site %s of this node", v.revision.Version, n.config.Site)
+	}
+	return ""
+}
+
+// apply puts a revision into force. Actions are carried out by several
+// goroutines: one that was overtaken by a later revision is skipped.
 func (n *Node) apply(a anvilrevision.Action) {
-	settings := a.Release.Site(n.config.Site)
-	if settings == nil {
-		n.record(anvilaudit.Event{
-			Kind:     anvilaudit.KindConfigRefused,
-			Subject:  string(n.config.Site),
-			Cause:    "the configuration has no site " + string(n.config.Site),
-			Revision: a.Revision.Version,
-		})
+	n.applyLock.Lock()
+	defer n.applyLock.Unlock()
+	if a.Sequence <= n.applied {
 		return
 	}
+	n.applied = a.Sequence
+	settings, declared := siteSettings(a.Release, n.config.Site)
 	next := &view{
-		revision: a.Revision,
-		settings: settings,
-		table:    anvilassign.New(assignConfig(settings)),
-		applied:  time.Now(),
+		revision:   a.Revision,
+		settings:   settings,
+		undeclared: !declared,
+		table:      anvilassign.New(assignConfig(settings)),
+		applied:    time.Now(),
 	}
 	for _, d := range settings.FailureDomains {
 		if d.State == anvilconfig.DomainOut {
@@ -82,6 +105,9 @@
 		Cause:    a.Cause,
 		Revision: a.Revision.Version,
 	}
+	if next.undeclared {
+		event.Cause += "; it does not declare this site, so the node refuses queries"
+	}
 	if previous == nil {
 		n.record(event)
 		return
--- a/anvilpeer/client.go
+++ b/anvilpeer/client.go
@@ -107,26 +107,31 @@
 	return decodeProbeReply(reply), nil
 }
 
-// Announce tells a node which revision is in force here and returns the one in
-// force there. It returns Unreachable.
-func (c *Client) Announce(ctx context.Context, address netip.AddrPort, from anvilmember.Item, revision anvilrevision.Revision) (uint64, error) {
+// Announce exchanges states with a node: it tells the state here and returns the
+// one there. It returns Unreachable.
+func (c *Client) Announce(ctx context.Context, address netip.AddrPort, from anvilmember.Item, s anvilrevision.State) (anvilrevision.State, error) {
 	request := &anvilproto.AnnounceRequest{
-		From:     encodeItem(from),
-		Revision: revision.Version,
-		Digest:   revision.Digest[:],
+		From:          encodeItem(from),
+		Revision:      s.InForce.Version,
+		Digest:        encodeDigest(s.InForce),
+		Refused:       s.Refused.Version,
+		RefusedDigest: encodeDigest(s.Refused),
+		Serving:       s.Serving,
 	}
 	c.count("announce", request)
 	reply, err := c.peer(ctx, address).Announce(ctx, request)
 	if err != nil {
-		return 0, Unreachable.Wrap(err, "announcing revision %d to %s", revision.Version, address)
+		return anvilrevision.State{}, Unreachable.Wrap(err, "announcing revision %d to %s", s.InForce.Version, address)
 	}
-	return reply.GetRevision(), nil
+	return decodeState(reply), nil
 }
 
-// Manifest asks for the manifest of the revision in force at a node. It returns
-// Unreachable or Malformed.
-func (c *Client) Manifest(ctx context.Context, address netip.AddrPort) (anvilrevision.Manifest, error) {
-	request := &anvilproto.FetchRequest{}
+// Manifest asks a node for the manifest of a version; the node returns that of
+// its revision in force if it has no other. It returns Unreachable or Malformed.
+func (c *Client) Manifest(ctx context.Context, address netip.AddrPort, version uint64) (anvilrevision.Manifest, error) {
+	request := &anvilproto.FetchRequest{
+		Revision: version,
+	}
 	c.count("fetch", request)
 	reply, err := c.peer(ctx, address).Fetch(ctx, request)
 	if err != nil {
--- a/anvilpeer/revisioncodec.go
+++ b/anvilpeer/revisioncodec.go
@@ -5,6 +5,41 @@
 	"anvilbridge/anvilrevision"
 )
 
+// stateMessage is an announcement or the reply to one.
+type stateMessage interface {
+	GetRevision() uint64
+	GetDigest() []byte
+	GetRefused() uint64
+	GetRefusedDigest() []byte
+	GetServing() bool
+}
+
+func decodeState(m stateMessage) anvilrevision.State {
+	return anvilrevision.State{
+		InForce: decodeRevision(m.GetRevision(), m.GetDigest()),
+		Refused: decodeRevision(m.GetRefused(), m.GetRefusedDigest()),
+		Serving: m.GetServing(),
+	}
+}
+
+func encodeDigest(r anvilrevision.Revision) []byte {
+	if r.Version == 0 {
+		return nil
+	}
+	return r.Digest[:]
+}
+
+// decodeRevision treats a digest of the wrong length as not known.
+func decodeRevision(version uint64, digest []byte) anvilrevision.Revision {
+	r := anvilrevision.Revision{
+		Version: version,
+	}
+	if len(digest) == len(r.Digest) {
+		copy(r.Digest[:], digest)
+	}
+	return r
+}
+
 func encodeManifest(m anvilrevision.Manifest) *anvilproto.FetchReply {
 	reply := &anvilproto.FetchReply{
 		Revision:  m.Revision.Version,
@@ -25,8 +60,8 @@
 	manifest := anvilrevision.Manifest{
 		Documents: make([]anvilrevision.DocumentManifest, 0, len(r.GetDocuments())),
 	}
-	manifest.Revision.Version = r.GetRevision()
-	if copy(manifest.Revision.Digest[:], r.GetDigest()) != len(manifest.Revision.Digest) {
+	manifest.Revision = decodeRevision(r.GetRevision(), r.GetDigest())
+	if len(r.GetDigest()) != len(manifest.Revision.Digest) {
 		return manifest, false
 	}
 	for _, d := range r.GetDocuments() {
--- a/anvilpeer/server.go
+++ b/anvilpeer/server.go
@@ -50,9 +50,10 @@
 	Cancel func(id anvilmodel.CallID)
 	// Probe returns false when the node cannot say anything.
 	Probe func(ctx context.Context, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool)
-	// Announce handles a peer's revision and returns the one in force here.
-	Announce func(from anvilmember.Item, version uint64) uint64
-	Manifest func() anvilrevision.Manifest
+	// Announce handles a peer's state and returns the one here.
+	Announce func(from anvilmember.Item, s anvilrevision.State) anvilrevision.State
+	// Manifest returns the manifest of a version, or of the revision in force.
+	Manifest func(version uint64) anvilrevision.Manifest
 	// Chunk returns nil for a chunk that is not at hand.
 	Chunk   func(anvilrevision.Hash) []byte
 	Outcome func(anvilmodel.Ticket) Outcome
@@ -107,15 +108,20 @@
 
 // Announce implements the drpc service.
 func (s *Server) Announce(_ context.Context, q *anvilproto.AnnounceRequest) (*anvilproto.AnnounceReply, error) {
+	state := s.handlers.Announce(decodeItem(q.GetFrom()), decodeState(q))
 	return &anvilproto.AnnounceReply{
-		Revision: s.handlers.Announce(decodeItem(q.GetFrom()), q.GetRevision()),
+		Revision:      state.InForce.Version,
+		Digest:        encodeDigest(state.InForce),
+		Refused:       state.Refused.Version,
+		RefusedDigest: encodeDigest(state.Refused),
+		Serving:       state.Serving,
 	}, nil
 }
 
 // Fetch implements the drpc service.
 func (s *Server) Fetch(_ context.Context, q *anvilproto.FetchRequest) (*anvilproto.FetchReply, error) {
 	if len(q.GetChunks()) == 0 {
-		return encodeManifest(s.handlers.Manifest()), nil
+		return encodeManifest(s.handlers.Manifest(q.GetRevision())), nil
 	}
 	hashes, ok := decodeHashes(q.GetChunks())
 	if !ok {
--- a/anvilrevision/chunk.go
+++ b/anvilrevision/chunk.go
@@ -5,16 +5,31 @@
 	"crypto/sha256"
 
 	"github.com/cespare/xxhash/v2"
+
+	"anvilbridge/anvilconfig"
 )
 
 // A chunk ends after a line whose hash is 0 modulo chunkDivisor, so that a
 // change in one place leaves the other chunks as they were. Configuration lines
-// have about 60 bytes, which gives chunks of about 4 KB.
+// have about 60 bytes: 1 KB and 50 more lines make about 4 KB. The minimum
+// bounds the number of chunks when a line that ends chunks is repeated.
 const (
-	chunkDivisor  = 64
+	chunkDivisor  = 50
+	chunkMinBytes = 1 << 10
 	chunkMaxBytes = 16 << 10
 )
 
+// Limits of what a node takes over from a peer, and so of the memory that one
+// fetch can hold: 16 documents of 1 MB.
+const (
+	// MaxDocuments is the largest number of documents of a revision.
+	MaxDocuments = 16
+	// maxNameBytes is the length of the longest document name.
+	maxNameBytes = 255
+	maxChunks    = anvilconfig.MaxDocumentBytes/chunkMinBytes + 1
+	maxBytes     = MaxDocuments * anvilconfig.MaxDocumentBytes
+)
+
 // Hash identifies a chunk: the first 16 bytes of its SHA-256.
 type Hash [16]byte
 
@@ -24,15 +39,16 @@
 	return Hash(sum[:16])
 }
 
-// Split cuts a document into content-defined chunks. The chunks alias content.
+// Split cuts a document into content-defined chunks of 1 to 16 KB; the last may
+// be shorter. The chunks alias content.
 func Split(content []byte) [][]byte {
 	chunks := [][]byte{}
 	start := 0
 	for position := 0; position < len(content); {
-		end := lineEnd(content, position)
-		cut := xxhash.Sum64(content[position:end])%chunkDivisor == 0
+		end := lineEnd(content, position, start+chunkMaxBytes)
+		cut := end-start >= chunkMinBytes && xxhash.Sum64(content[position:end])%chunkDivisor == 0
 		position = end
-		if cut || position-start >= chunkMaxBytes {
+		if cut || position-start == chunkMaxBytes {
 			chunks = append(chunks, content[start:position])
 			start = position
 		}
@@ -43,13 +59,64 @@
 	return chunks
 }
 
-// lineEnd returns the end of the line at a position. Very long lines are cut,
-// so that one line cannot make a chunk of any size.
-func lineEnd(content []byte, position int) int {
-	limit := min(position+chunkMaxBytes, len(content))
+// lineEnd returns the end of the line at a position. A line is cut at the limit,
+// so that one long line cannot make a chunk of any size.
+func lineEnd(content []byte, position, limit int) int {
+	limit = min(limit, len(content))
 	newline := bytes.IndexByte(content[position:limit], '\n')
 	if newline < 0 {
 		return limit
 	}
 	return position + newline + 1
 }
+
+// content is the documents of a revision, cut into chunks. It does not change,
+// so that tasks may read it without a lock.
+type content struct {
+	revision Revision
+	manifest Manifest
+	chunks   map[Hash][]byte
+	bytes    int
+}
+
+func newContent(revision Revision, documents []anvilconfig.Document) *content {
+	c := &content{
+		revision: revision,
+		manifest: Manifest{
+			Revision:  revision,
+			Documents: make([]DocumentManifest, 0, len(documents)),
+		},
+		chunks: make(map[Hash][]byte),
+	}
+	for _, d := range documents {
+		entry := DocumentManifest{
+			Name: d.Name,
+		}
+		for _, chunk := range Split(d.Content) {
+			hash := HashOf(chunk)
+			c.chunks[hash] = chunk
+			entry.Chunks = append(entry.Chunks, hash)
+		}
+		c.manifest.Documents = append(c.manifest.Documents, entry)
+		c.bytes += len(d.Content)
+	}
+	return c
+}
+
+// fault returns what makes a manifest of a peer unacceptable, or "".
+func (m Manifest) fault() string {
+	if len(m.Documents) > MaxDocuments {
+		return "too many documents"
+	}
+	for i, d := range m.Documents {
+		switch {
+		case d.Name == "" || len(d.Name) > maxNameBytes:
+			return "a document name of a wrong length"
+		case i > 0 && d.Name <= m.Documents[i-1].Name:
+			return "documents out of order"
+		case len(d.Chunks) > maxChunks:
+			return "too many chunks in a document"
+		}
+	}
+	return ""
+}
--- a/anvilrevision/join.go
+++ b/anvilrevision/join.go
@@ -1,73 +1,300 @@
 package anvilrevision
 
 import (
+	"bytes"
 	"fmt"
+	"maps"
+	"slices"
+	"time"
 
 	"anvilbridge/anvilmodel"
 )
 
+const (
+	// joinPeriod is the time between two rounds of exchanges of a fresh node,
+	// joinCount the peers of a round: 410 peers are asked within 13 s.
+	joinPeriod = 250 * time.Millisecond
+	joinCount  = 8
+	// joinRepeat is the time after which a peer is asked again. After the first
+	// time, one peer is asked in a round.
+	joinRepeat = time.Second
+	// maxJoinPeers bounds the peers that a fresh node remembers.
+	maxJoinPeers = 4096
+)
+
 // joining decides when a fresh node may serve. A node that knows only what the
 // service gave it may hold a stale configuration, and would revert the fleet's
 // for its callers.
 type joining struct {
-	ready       bool
-	serviceRead bool
-	listRead    bool
-	listed      []anvilmodel.VMName
-	peers       map[anvilmodel.VMName]peerRevision
+	ready    bool
+	listRead bool
+	peers    map[anvilmodel.VMName]*exchange
+	// floor is the highest version that a serving node said is in force. To
+	// serve a lower one would be a reversal, even if that node is gone.
+	floor     uint64
+	floorPeer anvilmodel.VMName
+	nextRound time.Time
 }
 
-type peerRevision struct {
-	version uint64
-	serving bool
+// exchange is what a fresh node knows of another VM.
+type exchange struct {
+	listed  bool
+	leaving bool
+	heard   bool
+	asked   time.Time
+	// tried is set when the last exchange succeeded or failed.
+	tried bool
+	// done is set while the last exchange succeeded; state is from it.
+	done  bool
+	state State
 }
 
-func newJoining() joining {
-	return joining{
-		peers: make(map[anvilmodel.VMName]peerRevision),
+func (j *joining) peer(name anvilmodel.VMName) *exchange {
+	e := j.peers[name]
+	if e == nil {
+		e = &exchange{}
+		if len(j.peers) < maxJoinPeers {
+			j.peers[name] = e
+		}
 	}
+	return e
 }
 
-func (j *joining) exchanged(peer anvilmodel.VMName, version uint64, serving bool) {
-	if j.ready {
+func (j *joining) raiseFloor(peer anvilmodel.VMName, version uint64) {
+	if version > j.floor {
+		j.floor = version
+		j.floorPeer = peer
+	}
+}
+
+// heard notes a probe. A peer that has begun to serve is asked at once.
+func (j *joining) heard(peer anvilmodel.VMName, version uint64, serving bool) {
+	e := j.peer(peer)
+	e.heard = true
+	if !serving {
 		return
 	}
-	j.peers[peer] = peerRevision{
-		version: version,
-		serving: serving,
+	j.raiseFloor(peer, version)
+	if !e.state.Serving {
+		e.state.Serving = true
+		e.done = false
+		e.tried = false
+		e.asked = time.Time{}
+		j.nextRound = time.Time{}
+	}
+}
+
+func (j *joining) exchanged(peer anvilmodel.VMName, s State, now time.Time) {
+	e := j.peer(peer)
+	e.heard = true
+	e.asked = now
+	e.tried = true
+	e.done = true
+	e.state = s
+	if s.Serving {
+		j.raiseFloor(peer, s.InForce.Version)
+	}
+}
+
+func (j *joining) failed(peer anvilmodel.VMName) {
+	if e := j.peers[peer]; e != nil {
+		e.tried = true
+		e.done = false
+	}
+}
+
+// forget drops all exchanges, but not the floor.
+func (j *joining) forget() {
+	for _, e := range j.peers {
+		e.reset()
 	}
 }
 
-// mayServe returns why the node may serve with the version in force, or "".
-func (j *joining) mayServe(inForce uint64, serveAlone bool) string {
-	for name, peer := range j.peers {
-		if peer.serving && peer.version != 0 && peer.version <= inForce {
-			return "exchanged revisions with serving node " + string(name)
+// forgetFresh drops the exchanges with fresh nodes: they were about another
+// revision than the one now at hand.
+func (j *joining) forgetFresh() {
+	for _, e := range j.peers {
+		if e.done && !e.state.Serving {
+			e.reset()
 		}
 	}
-	if serveAlone {
-		return "the operator allowed serving alone"
+	j.nextRound = time.Time{}
+}
+
+func (e *exchange) reset() {
+	e.asked = time.Time{}
+	e.tried = false
+	e.done = false
+	e.state = State{}
+}
+
+// SetListed hands over the published list without this node: the names of the
+// VMs listed live and of those listed as leaving.
+func (k *Keeper) SetListed(live, leaving []anvilmodel.VMName, now time.Time) []Action {
+	k.observe(now)
+	if k.join.ready {
+		return nil
 	}
-	if !j.listRead {
+	j := &k.join
+	j.listRead = true
+	for _, e := range j.peers {
+		e.listed = false
+		e.leaving = false
+	}
+	for _, name := range live {
+		j.peer(name).listed = true
+	}
+	for _, name := range leaving {
+		j.peer(name).leaving = true
+	}
+	maps.DeleteFunc(j.peers, func(_ anvilmodel.VMName, e *exchange) bool {
+		return !e.listed && !e.leaving && !e.heard
+	})
+	return k.proceed(nil, now)
+}
+
+// joinExchanges asks the peers with which a fresh node has not exchanged states,
+// and one other.
+func (k *Keeper) joinExchanges(now time.Time) []Action {
+	j := &k.join
+	if j.ready || now.Before(j.nextRound) {
+		return nil
+	}
+	j.nextRound = now.Add(joinPeriod)
+	names := slices.Sorted(maps.Keys(j.peers))
+	k.config.Random.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+	var actions []Action
+	repeated := false
+	for _, name := range names {
+		e := j.peers[name]
+		if len(actions) == joinCount {
+			break
+		}
+		if now.Sub(e.asked) < joinRepeat || (e.tried && repeated) {
+			continue
+		}
+		repeated = repeated || e.tried
+		e.asked = now
+		actions = append(actions, Action{
+			Kind: ActionAnnounce,
+			Peer: name,
+		})
+	}
+	return actions
+}
+
+// Ready reports whether the node may serve.
+func (k *Keeper) Ready() bool {
+	return k.join.ready
+}
+
+// Waiting returns why the node may not serve yet, or "".
+func (k *Keeper) Waiting() string {
+	if k.join.ready {
 		return ""
 	}
-	if len(j.listed) == 0 {
-		return "the VM list names no other live VM"
+	_, waiting := k.mayServe()
+	return waiting
+}
+
+func (k *Keeper) becomeReady() []Action {
+	cause, waiting := k.mayServe()
+	if waiting != "" {
+		return nil
+	}
+	k.join.ready = true
+	clear(k.join.peers)
+	return []Action{{
+		Kind:     ActionReady,
+		Revision: k.inForce.revision,
+		Cause:    cause,
+	}}
+}
+
+// mayServe returns why the node may serve, or what it waits for.
+func (k *Keeper) mayServe() (cause, waiting string) {
+	inForce := k.inForce.revision
+	switch {
+	case k.release == nil:
+		return "", "no valid configuration has been received from peers or the configuration service"
+	case k.config.ServeAlone:
+		return "the operator allowed serving alone", ""
+	case inForce.Version < k.join.floor:
+		return "", fmt.Sprintf("version %d is in force at %s, only version %d is at hand", k.join.floor, k.join.floorPeer, inForce.Version)
+	}
+	if peer, wait := k.servingPeer(); peer != "" {
+		return "exchanged revisions with serving node " + string(peer), wait
 	}
-	fresh := 0
-	for _, name := range j.listed {
-		peer, ok := j.peers[name]
-		if ok && peer.serving {
-			return ""
+	return k.join.freshFleet(k)
+}
+
+// servingPeer returns a serving node with which states were exchanged, and what
+// there is to wait for, if anything.
+func (k *Keeper) servingPeer() (peer anvilmodel.VMName, waiting string) {
+	inForce := k.inForce.revision
+	for _, name := range slices.Sorted(maps.Keys(k.join.peers)) {
+		e := k.join.peers[name]
+		switch {
+		case !e.done || !e.state.Serving:
+		case e.state.InForce == inForce:
+			return name, ""
+		case e.state.InForce.Version == inForce.Version:
+			waiting = fmt.Sprintf("version %d is in force at %s with other content", inForce.Version, name)
+			peer = name
+		case peer == "":
+			peer = name
 		}
-		if ok && peer.version <= inForce {
+	}
+	return peer, waiting
+}
+
+// freshFleet decides when no serving node has been heard of.
+func (j *joining) freshFleet(k *Keeper) (cause, waiting string) {
+	if !j.listRead {
+		return "", "the VM list has not been read, and no serving node has been heard of"
+	}
+	listed, fresh, open := 0, 0, 0
+	for name, e := range j.peers {
+		if e.listed {
+			listed++
+		}
+		if e.listed && e.done {
 			fresh++
 		}
+		if !e.tried {
+			open++
+		}
+		if e.done && k.outranks(e.state, name) {
+			return "", fmt.Sprintf("version %d is being fetched from %s", e.state.InForce.Version, name)
+		}
+	}
+	switch {
+	case open > 0:
+		return "", fmt.Sprintf("%d other VMs have not been asked for their configuration yet", open)
+	case listed == 0:
+		return "the VM list names no other live VM", ""
+	case 2*(fresh+1) <= listed+1:
+		return "", fmt.Sprintf("no serving node has been heard of, and only %d of %d other listed VMs answer; a majority is needed", fresh, listed)
+	}
+	return fmt.Sprintf("exchanged revisions with %d of %d other listed VMs, none serving yet", fresh, listed), ""
+}
+
+// outranks reports whether a fresh node has to take a peer's revision first.
+func (k *Keeper) outranks(s State, peer anvilmodel.VMName) bool {
+	return !k.refusals.has(s.InForce) && (s.InForce.Version > k.inForce.revision.Version || k.yields(s.InForce, peer))
+}
+
+// yields reports whether a fresh node takes other content of the version that it
+// has: what is in force at a serving node or, between fresh nodes, the content
+// with the higher digest. A serving node never does.
+func (k *Keeper) yields(r Revision, peer anvilmodel.VMName) bool {
+	inForce := k.inForce.revision
+	if k.join.ready || r.Version != inForce.Version || r.Version == 0 || r == inForce {
+		return false
 	}
-	// This node counts as one of the listed VMs.
-	total := len(j.listed) + 1
-	if 2*(fresh+1) > total && j.serviceRead {
-		return fmt.Sprintf("exchanged revisions with %d of %d other listed VMs, none serving yet", fresh, len(j.listed))
+	e := k.join.peers[peer]
+	if e == nil || !e.done || e.state.InForce != r {
+		return false
 	}
-	return ""
+	return e.state.Serving || bytes.Compare(r.Digest[:], inForce.Digest[:]) > 0
 }
--- a/anvilrevision/keeper.go
+++ b/anvilrevision/keeper.go
@@ -2,71 +2,77 @@
 
 import (
 	"fmt"
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"anvilbridge/anvilconfig"
 	"anvilbridge/anvilmodel"
 )
 
-const (
-	// fetchTimeout is how long a fetch from a peer may take before another
-	// peer is asked.
-	fetchTimeout = time.Second
-	// silenceBeforeRead is how long a node without news from peers waits before
-	// it reads the configuration service itself.
-	silenceBeforeRead = 5 * time.Second
-	// readRetry is the time between such reads.
-	readRetry = 5 * time.Second
-)
+// pauseTime is the gap between two calls above which the process is taken to
+// have paused.
+const pauseTime = time.Second
 
 // Config sets up a Keeper.
 type Config struct {
 	Self anvilmodel.VMName
 	// Judge validates documents. It must be a pure function of them, so that
-	// all nodes reach the same verdict.
+	// all nodes reach the same verdict. It is called by Task.Run.
 	Judge func([]anvilconfig.Document) Judgement
 	// ServeAlone lets a fresh node serve what the service gives it although it
 	// has heard no other node.
 	ServeAlone bool
+	Random     *rand.Rand
 }
 
 // Keeper keeps the revision in force. It is not safe for concurrent use.
 type Keeper struct {
 	config Config
+	// last is the time of the last call.
+	last time.Time
 
-	inForce   Revision
-	release   *anvilconfig.Release
-	documents []anvilconfig.Document
-	manifest  Manifest
-	chunks    map[Hash][]byte
+	inForce  *content
+	release  *anvilconfig.Release
+	accepted time.Time
+	sequence uint64
 
-	refused Revision
-	stale   bool
+	// refused is the highest refused revision above the one in force.
+	refused   *content
+	refusals  ring
+	conflicts ring
 
-	fetch     *fetch
-	offers    map[anvilmodel.VMName]uint64
-	heardPeer time.Time
-	nextRead  time.Time
+	// running is the task being run, next is to run after it.
+	running *Task
+	next    *Task
 
-	join joining
+	service      service
+	offers       map[anvilmodel.VMName]*offer
+	fetch        *fetch
+	nextAnnounce time.Time
+	join         joining
 }
 
 // New returns a keeper without a configuration.
 func New(c Config, now time.Time) *Keeper {
 	return &Keeper{
-		config:    c,
-		chunks:    make(map[Hash][]byte),
-		offers:    make(map[anvilmodel.VMName]uint64),
-		heardPeer: now,
-		nextRead:  now,
-		join:      newJoining(),
+		config:       c,
+		last:         now,
+		inForce:      &content{},
+		offers:       make(map[anvilmodel.VMName]*offer),
+		nextAnnounce: now,
+		service: service{
+			heardPeer: now,
+			nextRead:  now,
+		},
+		join: joining{
+			peers: make(map[anvilmodel.VMName]*exchange),
+		},
 	}
 }
 
 // InForce returns the revision in force; its version is 0 before the first.
 func (k *Keeper) InForce() Revision {
-	return k.inForce
+	return k.inForce.revision
 }
 
 // Release returns the configuration in force, or nil.
@@ -74,175 +80,196 @@
 	return k.release
 }
 
-// Offer hands over the documents of a version, from the service or assembled
-// from a peer's chunks.
-func (k *Keeper) Offer(version uint64, documents []anvilconfig.Document, source Source, now time.Time) []Action {
-	if source.Peer == "" {
-		k.join.serviceRead = true
+// State returns what other nodes are told.
+func (k *Keeper) State() State {
+	s := State{
+		InForce: k.inForce.revision,
+		Serving: k.join.ready,
 	}
-	documents = slices.Clone(documents)
-	slices.SortFunc(documents, compareName)
-	revision := Revision{
-		Version: version,
-		Digest:  anvilconfig.Digest(documents),
-	}
-	if actions, done := k.screen(revision, source); done {
-		return append(actions, k.readiness()...)
-	}
-	judgement := k.config.Judge(documents)
-	if !judgement.OK() {
-		k.refused = revision
-		return []Action{{
-			Kind:     ActionRefused,
-			Revision: revision,
-			Findings: judgement.Findings,
-			Source:   source,
-			Cause:    fmt.Sprintf("%d findings in version %d from %s", len(judgement.Findings), version, source),
-		}}
-	}
-	k.accept(revision, documents, judgement.Release)
-	actions := []Action{
-		{
-			Kind:     ActionApply,
-			Revision: revision,
-			Release:  judgement.Release,
-			Source:   source,
-			Cause:    fmt.Sprintf("version %d from %s", version, source),
-		},
-		{
-			Kind:     ActionAnnounce,
-			Revision: revision,
-		},
+	if k.refused != nil {
+		s.Refused = k.refused.revision
 	}
-	return append(actions, k.readiness()...)
+	return s
 }
 
-// screen handles revisions that are not newer than the one in force or that
-// were refused already.
-func (k *Keeper) screen(revision Revision, source Source) ([]Action, bool) {
-	if revision == k.refused {
-		return nil, true
+// Manifest returns the manifest of the refused revision of that version, or
+// else of the revision in force. The caller must not change it.
+func (k *Keeper) Manifest(version uint64) Manifest {
+	if k.refused != nil && k.refused.revision.Version == version {
+		return k.refused.manifest
 	}
-	if revision.Version > k.inForce.Version || k.release == nil {
-		k.stale = k.stale && source.Peer != ""
-		return nil, false
+	return k.inForce.manifest
+}
+
+// Chunk returns a chunk of the revision in force or the refused one, or nil.
+func (k *Keeper) Chunk(hash Hash) []byte {
+	return find(hash, k.chunksAtHand())
+}
+
+func (k *Keeper) chunksAtHand() []map[Hash][]byte {
+	maps := []map[Hash][]byte{k.inForce.chunks}
+	if k.refused != nil {
+		maps = append(maps, k.refused.chunks)
 	}
-	if revision == k.inForce {
-		k.stale = k.stale && source.Peer != ""
-		return nil, true
+	return maps
+}
+
+// Tick does what is due at now. The owner calls it every 250 ms.
+func (k *Keeper) Tick(now time.Time) []Action {
+	k.observe(now)
+	actions := k.expireFetch(now)
+	if k.join.ready && !now.Before(k.nextAnnounce) {
+		k.nextAnnounce = now.Add(announcePeriod)
+		actions = append(actions, Action{
+			Kind:  ActionAnnounce,
+			Count: 1,
+		})
 	}
-	if revision.Version == k.inForce.Version {
-		return []Action{{
-			Kind:     ActionConflict,
-			Revision: revision,
-			Source:   source,
-			Cause:    fmt.Sprintf("version %d from %s has other content than the one in force", revision.Version, source),
-		}}, true
+	actions = append(actions, k.readService(now)...)
+	return k.proceed(actions, now)
+}
+
+// observe notices that the process has paused. What peers said before is then
+// out of date: a fresh node must not become ready on it.
+func (k *Keeper) observe(now time.Time) {
+	if now.Sub(k.last) > pauseTime {
+		k.fetch = nil
+		clear(k.offers)
+		k.join.forget()
+		k.nextAnnounce = now
 	}
-	if source.Peer != "" || k.stale {
-		return nil, true
+	k.last = now
+}
+
+// proceed appends what may follow from any change.
+func (k *Keeper) proceed(actions []Action, now time.Time) []Action {
+	actions = append(actions, k.startFetch(now)...)
+	if k.join.ready {
+		return actions
 	}
-	k.stale = true
-	return []Action{{
-		Kind:     ActionStale,
-		Revision: revision,
-		Source:   source,
-		Cause:    fmt.Sprintf("the service serves version %d, version %d is in force", revision.Version, k.inForce.Version),
-	}}, true
-}
-
-func (k *Keeper) accept(revision Revision, documents []anvilconfig.Document, release *anvilconfig.Release) {
-	k.inForce = revision
-	k.release = release
-	k.documents = documents
-	k.manifest = Manifest{
-		Revision:  revision,
-		Documents: make([]DocumentManifest, 0, len(documents)),
-	}
-	clear(k.chunks)
-	for _, d := range documents {
-		entry := DocumentManifest{
-			Name: d.Name,
-		}
-		for _, chunk := range Split(d.Content) {
-			hash := HashOf(chunk)
-			k.chunks[hash] = chunk
-			entry.Chunks = append(entry.Chunks, hash)
+	actions = append(actions, k.becomeReady()...)
+	return append(actions, k.joinExchanges(now)...)
+}
+
+// start hands a task to the node. One runs at a time; of those that wait, the
+// highest is kept. One that is dropped is heard of again from peers or service.
+func (k *Keeper) start(t *Task) []Action {
+	if k.running != nil {
+		if k.next == nil || t.version >= k.next.version {
+			k.next = t
 		}
-		k.manifest.Documents = append(k.manifest.Documents, entry)
+		return nil
 	}
-	if k.fetch != nil && k.fetch.version <= revision.Version {
-		k.fetch = nil
+	t.known = append([]Revision{k.inForce.revision}, k.refusals.revisions...)
+	if k.join.ready {
+		t.settled = k.inForce.revision.Version
 	}
+	k.running = t
+	return []Action{{
+		Kind: ActionRun,
+		Task: t,
+	}}
 }
 
-// Manifest returns the manifest of the revision in force, for a peer.
-func (k *Keeper) Manifest() Manifest {
-	return k.manifest
-}
-
-// Chunk returns a chunk of the revision in force, or nil.
-func (k *Keeper) Chunk(hash Hash) []byte {
-	return k.chunks[hash]
+// HandleResult takes the outcome of a task. Whatever came in between counts: a
+// revision that is no longer newer than the one in force is not applied.
+func (k *Keeper) HandleResult(r Result, now time.Time) []Action {
+	k.observe(now)
+	if r.task == nil || r.task != k.running {
+		return nil
+	}
+	k.running = nil
+	actions := k.conclude(r, now)
+	if t := k.next; t != nil {
+		k.next = nil
+		if t.version >= k.inForce.revision.Version {
+			actions = append(actions, k.start(t)...)
+		}
+	}
+	return k.proceed(actions, now)
 }
 
-// Heard handles the revision that a peer says is in force with it, and whether
-// the peer is already serving.
-func (k *Keeper) Heard(peer anvilmodel.VMName, version uint64, serving bool, now time.Time) []Action {
-	k.heardPeer = now
-	k.join.exchanged(peer, version, serving)
-	actions := k.readiness()
-	if version <= k.inForce.Version || version == k.refused.Version {
-		delete(k.offers, peer)
+func (k *Keeper) conclude(r Result, now time.Time) []Action {
+	source := r.task.source
+	if r.damaged {
+		k.setAside(source.Peer, now)
+		return nil
+	}
+	if actions, done := k.screen(r.revision, source); done || !r.judged {
 		return actions
 	}
-	k.offers[peer] = version
-	return append(actions, k.startFetch(now)...)
+	if !r.judgement.OK() {
+		return k.refuse(r, source)
+	}
+	return k.accept(r, source, now)
 }
 
-// SetListed hands over the names of the VMs listed live without this one.
-func (k *Keeper) SetListed(names []anvilmodel.VMName) []Action {
-	k.join.listed = names
-	k.join.listRead = true
-	return k.readiness()
+// screen handles revisions that are not newer than the one in force or that
+// were refused already.
+func (k *Keeper) screen(revision Revision, source Source) ([]Action, bool) {
+	inForce := k.inForce.revision
+	switch {
+	case revision == inForce || revision.Version < inForce.Version || k.refusals.has(revision):
+		return nil, true
+	case revision.Version > inForce.Version || k.yields(revision, source.Peer):
+		return nil, false
+	default:
+		return k.conflict(revision, source), true
+	}
 }
 
-// Ready reports whether the node may serve.
-func (k *Keeper) Ready() bool {
-	return k.join.ready
+// conflict reports, once, a version that is in force here with other content.
+func (k *Keeper) conflict(revision Revision, source Source) []Action {
+	if k.conflicts.has(revision) {
+		return nil
+	}
+	k.conflicts.add(revision)
+	return []Action{{
+		Kind:     ActionConflict,
+		Revision: revision,
+		Source:   source,
+		Cause:    fmt.Sprintf("version %d from %s has other content than the one in force", revision.Version, source),
+	}}
 }
 
-// Tick starts fetches again that took too long, and asks for a read of the
-// service when no peer has been heard for 5 s.
-func (k *Keeper) Tick(now time.Time) []Action {
-	actions := []Action{}
-	if k.fetch != nil && now.Sub(k.fetch.started) >= fetchTimeout {
-		delete(k.offers, k.fetch.peer)
-		k.fetch = nil
+func (k *Keeper) refuse(r Result, source Source) []Action {
+	k.refusals.add(r.revision)
+	highest := k.refused == nil || k.refused.revision.Version <= r.revision.Version
+	if highest && r.revision.Version > k.inForce.revision.Version {
+		k.refused = r.content
 	}
-	actions = append(actions, k.startFetch(now)...)
-	alone := k.release == nil || now.Sub(k.heardPeer) >= silenceBeforeRead
-	if alone && !now.Before(k.nextRead) {
-		k.nextRead = now.Add(readRetry)
-		actions = append(actions, Action{
-			Kind: ActionRead,
-		})
+	findings := r.judgement.Findings
+	return []Action{
+		{
+			Kind:     ActionRefused,
+			Revision: r.revision,
+			Findings: findings,
+			Source:   source,
+			Cause:    fmt.Sprintf("%d findings in version %d from %s", len(findings), r.revision.Version, source),
+		},
+		announceWidely(),
 	}
-	return actions
 }
 
-func (k *Keeper) readiness() []Action {
-	if k.join.ready || k.release == nil {
-		return nil
+func (k *Keeper) accept(r Result, source Source, now time.Time) []Action {
+	k.inForce = r.content
+	k.release = r.judgement.Release
+	k.accepted = now
+	k.sequence++
+	if k.refused != nil && k.refused.revision.Version <= r.revision.Version {
+		k.refused = nil
 	}
-	cause := k.join.mayServe(k.inForce.Version, k.config.ServeAlone)
-	if cause == "" {
-		return nil
+	k.dropOffers()
+	k.join.forgetFresh()
+	return []Action{
+		announceWidely(),
+		{
+			Kind:     ActionApply,
+			Revision: r.revision,
+			Release:  r.judgement.Release,
+			Sequence: k.sequence,
+			Source:   source,
+			Cause:    fmt.Sprintf("version %d from %s", r.revision.Version, source),
+		},
 	}
-	k.join.ready = true
-	return []Action{{
-		Kind:     ActionReady,
-		Revision: k.inForce,
-		Cause:    cause,
-	}}
 }
--- a/anvilrevision/revision.go
+++ b/anvilrevision/revision.go
@@ -4,7 +4,7 @@
 package anvilrevision
 
 import (
-	"cmp"
+	"slices"
 
 	"anvilbridge/anvilconfig"
 	"anvilbridge/anvilmodel"
@@ -14,12 +14,14 @@
 // service gave the documents, and their digest.
 type Revision struct {
 	Version uint64
-	Digest  [32]byte
+	// Digest is zero when only the version is known.
+	Digest [32]byte
 }
 
 // Manifest names the chunks of the documents of a revision.
 type Manifest struct {
-	Revision  Revision
+	Revision Revision
+	// Documents are in order of name.
 	Documents []DocumentManifest
 }
 
@@ -29,6 +31,17 @@
 	Chunks []Hash
 }
 
+// State is what a node tells another about its configuration.
+type State struct {
+	// InForce has version 0 before the first revision.
+	InForce Revision
+	// Refused is the highest refused revision above the one in force, so that
+	// the other node can judge it too. Its version is 0 if there is none.
+	Refused Revision
+	// Serving is false while the node is fresh.
+	Serving bool
+}
+
 // Source says where documents came from, for the audit trail.
 type Source struct {
 	// Peer is empty when the configuration service gave the documents.
@@ -54,44 +67,29 @@
 	return j.Release != nil && len(j.Findings) == 0
 }
 
-// ActionKind says what the node is to do.
-type ActionKind int
+// rememberedRevisions bounds the revisions that a ring remembers.
+const rememberedRevisions = 16
 
-// Kinds of actions.
-const (
-	// ActionApply means that Release is in force from now on.
-	ActionApply ActionKind = iota + 1
-	// ActionAnnounce asks to announce the revision in force to a few peers.
-	ActionAnnounce
-	// ActionFetchManifest asks a peer for the manifest of its revision.
-	ActionFetchManifest
-	// ActionFetchChunks asks a peer for chunks.
-	ActionFetchChunks
-	// ActionRead asks for a read of the configuration service without waiting.
-	ActionRead
-	// ActionRefused reports a refused revision with its findings.
-	ActionRefused
-	// ActionStale reports that the service serves an older version.
-	ActionStale
-	// ActionConflict reports an equal version with other content.
-	ActionConflict
-	// ActionReady means that the node may serve from now on.
-	ActionReady
-)
+// ring remembers the last revisions that were refused, or in conflict with the
+// one in force, so that each is judged and reported once.
+type ring struct {
+	revisions []Revision
+	next      int
+}
 
-// Action is something that the node is to do or report.
-type Action struct {
-	Kind     ActionKind
-	Revision Revision
-	Release  *anvilconfig.Release
-	Findings anvilconfig.Findings
-	Source   Source
-	Peer     anvilmodel.VMName
-	Chunks   []Hash
-	// Cause says in words why, for the audit trail.
-	Cause string
+func (r *ring) add(revision Revision) {
+	if len(r.revisions) < rememberedRevisions {
+		r.revisions = append(r.revisions, revision)
+		return
+	}
+	r.revisions[r.next] = revision
+	r.next = (r.next + 1) % rememberedRevisions
 }
 
-func compareName(d anvilconfig.Document, e anvilconfig.Document) int {
-	return cmp.Compare(d.Name, e.Name)
+// has compares versions only when the digest of the revision is not known.
+func (r *ring) has(revision Revision) bool {
+	if revision.Digest != ([32]byte{}) {
+		return slices.Contains(r.revisions, revision)
+	}
+	return slices.ContainsFunc(r.revisions, func(s Revision) bool { return s.Version == revision.Version })
 }
