--- a/anvilcapacity/configuration.go
+++ b/anvilcapacity/configuration.go
@@ -191,6 +191,15 @@
 	}
 }
 
+// adopt puts documents of the configuration service into force.
+func adopt(k *anvilrevision.Keeper, version uint64, documents []anvilconfig.Document, now time.Time) {
+	for _, a := range k.Offer(version, documents, now, now) {
+		if a.Kind == anvilrevision.ActionRun {
+			k.HandleResult(a.Task.Run(), now)
+		}
+	}
+}
+
 // transfer returns the bytes with which a node that has the old documents gets
 // the new ones from a peer.
 func transfer(ctx context.Context, before, after []anvilconfig.Document) (float64, error) {
@@ -203,9 +212,9 @@
 	taker := anvilrevision.New(anvilrevision.Config{
 		Judge: acceptAll,
 	}, now)
-	giver.Offer(2, after, anvilrevision.Source{}, now)
+	adopt(giver, 2, after, now)
 	if before != nil {
-		taker.Offer(1, before, anvilrevision.Source{}, now)
+		adopt(taker, 1, before, now)
 	}
 	server, err := startPeerServer(anvilpeer.Handlers{
 		Manifest: giver.Manifest,
@@ -224,8 +233,10 @@
 	for len(actions) > 0 {
 		a := actions[0]
 		switch a.Kind {
+		case anvilrevision.ActionRun:
+			actions = append(actions, taker.HandleResult(a.Task.Run(), now)...)
 		case anvilrevision.ActionFetchManifest:
-			manifest, err := client.Manifest(ctx, server.address)
+			manifest, err := client.Manifest(ctx, server.address, a.Revision.Version)
 			if err != nil {
 				return 0, err
 			}
@@ -235,7 +246,7 @@
 			if err != nil {
 				return 0, err
 			}
-			actions = append(actions, taker.HandleChunks("peer", chunks, now)...)
+			actions = append(actions, taker.HandleChunks("peer", a.Chunks, chunks, now)...)
 		}
 		actions = actions[1:]
 	}
--- a/anvilcapacity/peer.go
+++ b/anvilcapacity/peer.go
@@ -147,8 +147,10 @@
 	for _, n := range sizes {
 		w := &wireCounter{}
 		err := exchange(ctx, w, server, n, func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
-			_, err := c.Announce(ctx, to, from, anvilrevision.Revision{
-				Version: 100_000,
+			_, err := c.Announce(ctx, to, from, anvilrevision.State{
+				InForce: anvilrevision.Revision{
+					Version: 100_000,
+				},
 			})
 			return err
 		})
--- a/anvilcapacity/run.go
+++ b/anvilcapacity/run.go
@@ -57,7 +57,6 @@
 		{name: "relay", run: measureRelay},
 		{name: "upstream", run: measureUpstream},
 		{name: "configuration", run: measureConfiguration},
-		{name: "spread", run: measureSpread},
 		{name: "ticket", run: measureTicket},
 	}
 }
--- a/anvilcapacity/wire.go
+++ b/anvilcapacity/wire.go
@@ -108,10 +108,10 @@
 		}
 	}
 	if h.Announce == nil {
-		h.Announce = func(anvilmember.Item, uint64) uint64 { return 0 }
+		h.Announce = func(anvilmember.Item, anvilrevision.State) anvilrevision.State { return anvilrevision.State{} }
 	}
 	if h.Manifest == nil {
-		h.Manifest = func() anvilrevision.Manifest { return anvilrevision.Manifest{} }
+		h.Manifest = func(uint64) anvilrevision.Manifest { return anvilrevision.Manifest{} }
 	}
 	if h.Chunk == nil {
 		h.Chunk = func(anvilrevision.Hash) []byte { return nil }
--- a/anvilnode/query.go
+++ b/anvilnode/query.go
@@ -93,20 +93,20 @@
 		return "the node has not announced its incarnation yet"
 	}
 	if n.ready.Load() {
-		return ""
+		return n.undeclaredSite()
 	}
 	n.control.Lock()
-	ready := n.keeper.Ready()
+	waiting := n.keeper.Waiting()
 	n.control.Unlock()
 	switch {
-	case !ready:
-		return "the node has no configuration that it may serve yet"
+	case waiting != "":
+		return waiting
 	case n.view.Load() == nil:
 		return "the node is putting its first configuration into force"
 	}
 	// A node that is ready stays so. Queries do not wait for the control lock.
 	n.ready.Store(true)
-	return ""
+	return n.undeclaredSite()
 }
 
 // outFor returns for how long this node's failure domain has been taken out, 0 if
