Count the cold duration of a returned leaf from its return

Cause: a leaf that comes back from a failure domain that was taken out was made cold, but its cold duration was counted from when its incarnation was first seen, long ago. After 8 good calls it was warm and got its full load. Change: the cold duration begins at the return; TestReturnedLeafStaysCold guards it, and TestColdLeafRampsUp waits for the duration before it counts calls.

--- a/anvilleaf/dispatcher_test.go
+++ b/anvilleaf/dispatcher_test.go
@@ -15,6 +15,7 @@
 	n.sim.runFor(time.Second)
 	n.do(n.d.SetOut(true, n.sim.now, nil))
 	n.do(n.d.SetOut(false, n.sim.now, nil))
+	n.sim.runFor(time.Second)
 	for i := 1; i <= 16; i++ {
 		n.send(1)
 		n.sim.runFor(2 * service)
@@ -24,6 +25,29 @@
 	}
 }
 
+// TestReturnedLeafStaysCold guards against a leaf that returns in the same
+// incarnation and is taken for warm after a few good calls, although it lost its
+// caches while it was out.
+func TestReturnedLeafStaysCold(t *testing.T) {
+	n := newWarmNode(2)
+	n.do(n.d.SetOut(true, n.sim.now, nil))
+	n.sim.runFor(time.Minute)
+	n.do(n.d.SetOut(false, n.sim.now, nil))
+	returned := n.sim.now
+	for n.sim.now.Sub(returned) < time.Second {
+		if !n.status().Cold {
+			t.Fatalf("the leaf is warm %s after its return, before its cold duration of 1 s", n.sim.now.Sub(returned))
+		}
+		n.send(1)
+		n.sim.runFor(2 * service)
+	}
+	n.send(1)
+	n.sim.runFor(2 * service)
+	if n.status().Cold {
+		t.Error("the leaf is still cold after its cold duration and many good calls")
+	}
+}
+
 // TestJudgement guards against signals that fail to make a leaf cold, and
 // against endpoints or stale peers that make it warm or cold wrongly.
 func TestJudgement(t *testing.T) {
--- a/anvilleaf/gate.go
+++ b/anvilleaf/gate.go
@@ -155,6 +155,7 @@
 	}
 	d.shrunk = true
 	if was {
+		d.judgement.freshAt = d.now
 		d.makeCold("it returned", true)
 	}
 }
--- a/anvilleaf/judge.go
+++ b/anvilleaf/judge.go
@@ -19,7 +19,11 @@
 type judgement struct {
 	incarnation anvilmodel.Incarnation
 	// seenAt is when the incarnation was first seen.
-	seenAt  time.Time
+	seenAt time.Time
+	// freshAt is when the cold duration begins: when the incarnation was first
+	// seen, or when the leaf returned. A leaf that was without work for long has
+	// lost its caches like one that has restarted.
+	freshAt time.Time
 	cold    bool
 	coldAt  time.Time
 	warmAt  time.Time
@@ -49,6 +53,7 @@
 	}
 	j.incarnation = i
 	j.seenAt = d.now
+	j.freshAt = d.now
 	d.audit(EventNewIncarnation, "incarnation not seen before", 0)
 	d.makeCold("new incarnation", false)
 	d.draining = false
@@ -199,7 +204,7 @@
 	j.good++
 	switch {
 	case j.cold:
-		if j.good >= goodCalls && !d.now.Before(j.seenAt.Add(d.config.ColdDuration)) {
+		if j.good >= goodCalls && !d.now.Before(j.freshAt.Add(d.config.ColdDuration)) {
 			d.makeWarm("good calls", d.now)
 		}
 	case d.latency.distressed():
