--- a/anvilmember/config.go
+++ b/anvilmember/config.go
@@ -39,7 +39,7 @@
 	// failure domain does not multiply its control work.
 	confirmsPerPeriod = 2
 	// burstProbes is how many members hear at once that a node has joined or leaves.
-	burstProbes = 8
+	burstProbes = 16
 	// joinReplies and joinTime end the join: so many peers told a fresh process
 	// what they know of its name, slot and address, or none of them answered.
 	joinReplies = 3
--- a/anvilmember/pump_test.go
+++ b/anvilmember/pump_test.go
@@ -54,6 +54,8 @@
 	cut func(from, to anvilmodel.VMName) bool
 	// deaf is a node that gets no requests, though its own are answered.
 	deaf anvilmodel.VMName
+	// spent is the wall-clock time in the cores.
+	spent time.Duration
 	// lost holds the pairs that really failed to complete an exchange.
 	lost map[pair]bool
 	// relisted says when a VM was put back on the list.
@@ -178,13 +180,16 @@
 // do runs a call on a core, carries out the actions and checks the deaths.
 func (p *pump) do(x *process, call func(a *anvilmember.Actions)) {
 	var a anvilmember.Actions
+	begin := time.Now()
 	call(&a)
+	p.spent += time.Since(begin)
 	x.events = append(x.events, a.Events...)
 	for _, r := range a.Probes {
 		p.probe(x, r)
 	}
 	for _, k := range a.Answers {
 		p.pending[k.Token](k)
+		p.pending[k.Token] = nil
 	}
 	for _, e := range a.Events {
 		if e.Kind == anvilmember.EventDead {
--- a/anvilmember/sample.go
+++ b/anvilmember/sample.go
@@ -14,27 +14,18 @@
 	if b.full() {
 		return
 	}
+	preferred := to.FailureDomain
+	if m.config.Random.IntN(2) == 0 {
+		preferred = ""
+	}
+	limit := b.items - len(b.news)
 	m.scratch = m.scratch[:0]
 	for _, r := range m.records {
 		if r.member.Status != anvilmodel.MemberAlive || r.member.Name == to.Name || m.silent(r) {
 			continue
 		}
-		m.scratch = append(m.scratch, r)
+		m.scratch = insertBest(m.scratch, r, preferred, limit)
 	}
-	preferred := to.FailureDomain
-	if m.config.Random.IntN(2) == 0 {
-		preferred = ""
-	}
-	slices.SortFunc(m.scratch, func(x, y *record) int {
-		near, far := x.member.FailureDomain == preferred, y.member.FailureDomain == preferred
-		switch {
-		case near && !far:
-			return -1
-		case far && !near:
-			return 1
-		}
-		return compareTimes(y.stateAt(), x.stateAt())
-	})
 	for _, r := range m.scratch {
 		if b.full() {
 			return
@@ -43,6 +34,31 @@
 	}
 }
 
+// insertBest keeps the best records in order, at most limit.
+func insertBest(best []*record, r *record, preferred anvilmodel.FailureDomain, limit int) []*record {
+	k := len(best)
+	for k > 0 && r.fresher(best[k-1], preferred) {
+		k--
+	}
+	if k >= limit {
+		return best
+	}
+	if len(best) == limit {
+		best = best[:limit-1]
+	}
+	return slices.Insert(best, k, r)
+}
+
+// fresher reports whether r goes before x: if only r is in the preferred failure
+// domain, or if its state is younger.
+func (r *record) fresher(x *record, preferred anvilmodel.FailureDomain) bool {
+	near, far := r.member.FailureDomain == preferred, x.member.FailureDomain == preferred
+	if near != far {
+		return near
+	}
+	return r.stateAt() > x.stateAt()
+}
+
 // stateAt estimates when the member had the state that the record holds.
 func (r *record) stateAt() time.Duration {
 	return r.origin + time.Duration(r.version)*versionPeriod
