Ask several peers for a revision and announce it twice

Cause: with 20% of messages lost, a fetch that waited for one peer at a time and doubled its timeout took over 7 s on 16 nodes and more, and the first round of announcements missed about one node in 50, which then waited for a probe. Change: a fetch without progress asks another peer after 200 ms, two from the second time on; late replies count, chunks of several peers are joined. Each change is announced to 4 more peers after 1 s.

--- a/anvilnode/revisions.go
+++ b/anvilnode/revisions.go
@@ -234,7 +234,7 @@
 		return
 	}
 	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
-		return k.HandleChunks(a.Peer, chunks, now)
+		return k.HandleChunks(a.Peer, a.Chunks, chunks, now)
 	})
 }
 
--- a/anvilrevision/exchange.go
+++ b/anvilrevision/exchange.go
@@ -9,18 +9,41 @@
 const (
 	// announceCount is the number of peers told at once of a new revision.
 	announceCount = 4
+	// announceRepeat is the time after which as many are told again. The first
+	// round of all nodes misses one node in 50, which would wait for a probe.
+	announceRepeat = time.Second
 	// announcePeriod is the time between two exchanges with a peer drawn at
 	// random. They show what probes do not carry: digests and refusals.
 	announcePeriod = 30 * time.Second
 )
 
-func announceWidely() Action {
+func (k *Keeper) announceWidely(now time.Time) Action {
+	k.repeat = now.Add(announceRepeat)
 	return Action{
 		Kind:  ActionAnnounce,
 		Count: announceCount,
 	}
 }
 
+// announceDue repeats the last announcement once, and makes the regular ones.
+func (k *Keeper) announceDue(now time.Time) []Action {
+	var count int
+	switch {
+	case !k.repeat.IsZero() && !now.Before(k.repeat):
+		k.repeat = time.Time{}
+		count = announceCount
+	case k.join.ready && !now.Before(k.nextAnnounce):
+		k.nextAnnounce = now.Add(announcePeriod)
+		count = 1
+	default:
+		return nil
+	}
+	return []Action{{
+		Kind:  ActionAnnounce,
+		Count: count,
+	}}
+}
+
 // Heard handles the version that a probe of a peer or its reply carries, and
 // whether the peer is serving.
 func (k *Keeper) Heard(peer anvilmodel.VMName, version uint64, serving bool, now time.Time) []Action {
@@ -29,11 +52,10 @@
 	if !k.join.ready {
 		k.join.heard(peer, version, serving)
 	}
-	o := k.offerOf(peer, version)
-	if o != nil && o.inForce.Version != version {
-		o.inForce = Revision{
+	if o := k.offers[peer]; o == nil || o.inForce.Version != version {
+		k.note(peer, Revision{
 			Version: version,
-		}
+		}, Revision{})
 	}
 	return k.proceed(nil, now)
 }
@@ -46,10 +68,7 @@
 	if !k.join.ready {
 		k.join.exchanged(peer, s, now)
 	}
-	if o := k.offerOf(peer, max(s.InForce.Version, s.Refused.Version)); o != nil {
-		o.inForce = s.InForce
-		o.refused = s.Refused
-	}
+	k.note(peer, s.InForce, s.Refused)
 	var actions []Action
 	inForce := k.inForce.revision
 	if k.join.ready && s.Serving && s.InForce.Version == inForce.Version && s.InForce != inForce {
--- a/anvilrevision/fetch.go
+++ b/anvilrevision/fetch.go
@@ -9,10 +9,17 @@
 )
 
 const (
-	// askTimeout is how long a peer has to answer a request; it doubles with
-	// each failure of the peer, up to 2.4 s, so that a slow one answers in time.
-	askTimeout       = 300 * time.Millisecond
-	askTimeoutDouble = 3
+	// fetchTimeout is how long a peer has to answer a request. A late reply is
+	// of use, because chunks are identified by their content.
+	fetchTimeout = 2 * time.Second
+	// askAgain is the time without progress after which another peer is asked
+	// as well, or the same one again. After the first few times it is
+	// askAgainLater, so that a slow transfer is not started over and over.
+	askAgain      = 200 * time.Millisecond
+	askAgainLater = 400 * time.Millisecond
+	askAgainTimes = 4
+	// askOne is the number of times that one peer is asked; then it is two.
+	askOne = 2
 	// A peer that failed is not asked again for failureDelay, doubling up to
 	// 6.4 s.
 	failureDelay       = 100 * time.Millisecond
@@ -32,33 +39,45 @@
 	notBefore time.Time
 }
 
-// fetch is a transfer of a revision from peers. There is one at a time, with
-// one request under way. Chunks are identified by their content, so they may
-// come from several peers.
+// fetch is a transfer of a revision from peers. There is one at a time.
 type fetch struct {
-	peer     anvilmodel.VMName
-	deadline time.Time
+	// peer was asked last.
+	peer anvilmodel.VMName
+	// repeats counts the times that was asked again without progress; the next
+	// time is at again.
+	repeats int
+	again   time.Time
 	// manifest has version 0 until it has been received.
 	manifest Manifest
-	asked    []Hash
+	// received holds chunks of this manifest or one before it.
 	received map[Hash][]byte
 	bytes    int
 	// sources are the chunks at hand, those received first.
 	sources []map[Hash][]byte
 }
 
-// offerOf returns the entry of a peer. A new one is made only for a peer that may
-// have something to fetch: for a fresh node also another content of its version.
-func (k *Keeper) offerOf(peer anvilmodel.VMName, highest uint64) *offer {
+// note records what a peer has. Only peers that may have something to fetch are
+// kept.
+func (k *Keeper) note(peer anvilmodel.VMName, inForce, refused Revision) {
+	if !k.newer(inForce) && !k.newer(refused) && !k.yields(inForce, peer) {
+		delete(k.offers, peer)
+		return
+	}
 	o := k.offers[peer]
-	inForce := k.inForce.revision.Version
-	nothing := highest < inForce || (highest == inForce && k.join.ready)
-	if o != nil || nothing || len(k.offers) >= maxOffers {
-		return o
+	if o == nil {
+		if len(k.offers) >= maxOffers {
+			return
+		}
+		o = &offer{}
+		k.offers[peer] = o
 	}
-	o = &offer{}
-	k.offers[peer] = o
-	return o
+	o.inForce = inForce
+	o.refused = refused
+}
+
+// newer reports whether a revision is above the one in force and not refused.
+func (k *Keeper) newer(r Revision) bool {
+	return r.Version > k.inForce.revision.Version && !k.refusals.has(r)
 }
 
 // dropOffers forgets the peers that offer nothing newer.
@@ -66,17 +85,12 @@
 	maps.DeleteFunc(k.offers, func(_ anvilmodel.VMName, o *offer) bool {
 		return max(o.inForce.Version, o.refused.Version) <= k.inForce.revision.Version
 	})
-	if k.fetch != nil && k.fetch.manifest.Revision.Version <= k.inForce.revision.Version {
-		k.fetch = nil
-	}
+	k.fetch = nil
 }
 
 // wants reports whether the revision in force at a peer has to be fetched.
 func (k *Keeper) wants(r Revision, peer anvilmodel.VMName) bool {
-	if k.refusals.has(r) || k.atHand(r.Version) {
-		return false
-	}
-	return r.Version > k.inForce.revision.Version || k.yields(r, peer)
+	return !k.atHand(r.Version) && (k.newer(r) || k.yields(r, peer))
 }
 
 // wantsRefused reports whether a revision that a peer refused has to be fetched,
@@ -85,7 +99,7 @@
 	if k.refused != nil && r.Version <= k.refused.revision.Version {
 		return false
 	}
-	return r.Version > k.inForce.revision.Version && !k.refusals.has(r) && !k.atHand(r.Version)
+	return k.newer(r) && !k.atHand(r.Version)
 }
 
 // atHand reports whether a version is being judged or waits for it.
@@ -104,7 +118,8 @@
 	return k.best(now, refused, k.wantsRefused)
 }
 
-// best draws one of the peers with the highest wanted version.
+// best draws one of the peers with the highest wanted version, another one than
+// the last if there is a choice.
 func (k *Keeper) best(now time.Time, of func(*offer) Revision, wanted func(Revision, anvilmodel.VMName) bool) (anvilmodel.VMName, Revision) {
 	var highest uint64
 	var peers []anvilmodel.VMName
@@ -120,6 +135,9 @@
 		}
 		peers = append(peers, name)
 	}
+	if len(peers) > 1 {
+		peers = slices.DeleteFunc(peers, func(name anvilmodel.VMName) bool { return name == k.fetch.peer })
+	}
 	if len(peers) == 0 {
 		return "", Revision{}
 	}
@@ -132,7 +150,9 @@
 	if k.fetch != nil || len(k.offers) == 0 {
 		return nil
 	}
-	k.fetch = &fetch{}
+	k.fetch = &fetch{
+		received: make(map[Hash][]byte),
+	}
 	return k.askNext(now)
 }
 
@@ -157,12 +177,13 @@
 }
 
 func (k *Keeper) ask(a Action, now time.Time) []Action {
-	a.Peer = k.fetch.peer
-	a.Timeout = askTimeout
-	if o := k.offers[a.Peer]; o != nil {
-		a.Timeout <<= min(o.failures, askTimeoutDouble)
+	f := k.fetch
+	a.Peer = f.peer
+	a.Timeout = fetchTimeout
+	f.again = now.Add(askAgain)
+	if f.repeats > askAgainTimes {
+		f.again = now.Add(askAgainLater)
 	}
-	k.fetch.deadline = now.Add(a.Timeout)
 	return []Action{a}
 }
 
@@ -171,21 +192,20 @@
 func (k *Keeper) HandleManifest(peer anvilmodel.VMName, manifest Manifest, now time.Time) []Action {
 	k.observe(now)
 	f := k.fetch
-	if f == nil || f.peer != peer || f.manifest.Revision.Version > 0 {
+	if f == nil || f.manifest.Revision.Version > 0 {
 		return nil
 	}
 	r := manifest.Revision
-	wanted := k.wants(r, peer) || k.wantsRefused(r, peer)
-	if !wanted || manifest.fault() != "" {
+	if manifest.fault() != "" || !k.wants(r, peer) && !k.wantsRefused(r, peer) {
 		if o := k.offers[peer]; o != nil {
 			o.inForce = r
 			o.refused = Revision{}
 		}
 		return k.proceed(k.failPeer(peer, now), now)
 	}
+	f.peer = peer
+	f.repeats = 0
 	f.manifest = manifest
-	f.received = make(map[Hash][]byte)
-	f.bytes = 0
 	f.sources = append([]map[Hash][]byte{f.received}, k.chunksAtHand()...)
 	return k.proceed(k.askChunks(now), now)
 }
@@ -193,12 +213,11 @@
 // askChunks asks for the next missing chunks, or starts the judgement.
 func (k *Keeper) askChunks(now time.Time) []Action {
 	f := k.fetch
-	f.asked = f.missing()
-	if len(f.asked) > 0 {
+	if missing := f.missing(); len(missing) > 0 {
 		return k.ask(Action{
 			Kind:     ActionFetchChunks,
 			Revision: f.manifest.Revision,
-			Chunks:   f.asked,
+			Chunks:   missing,
 		}, now)
 	}
 	k.fetch = nil
@@ -232,50 +251,80 @@
 	return missing
 }
 
-// HandleChunks takes chunks from a peer. Damaged ones, and those not asked for,
-// are dropped. A peer that lacks some has moved to another revision or is
-// faulty; the manifest is then fetched again, from another peer if one offers.
-func (k *Keeper) HandleChunks(peer anvilmodel.VMName, chunks [][]byte, now time.Time) []Action {
+// HandleChunks takes the chunks of a peer's reply to a request for those asked.
+// Damaged ones and others are dropped. A peer that lacks some has moved to
+// another revision or is faulty; the manifest is then fetched again, from
+// another peer if one offers.
+func (k *Keeper) HandleChunks(peer anvilmodel.VMName, asked []Hash, chunks [][]byte, now time.Time) []Action {
 	k.observe(now)
 	f := k.fetch
-	if f == nil || f.peer != peer || len(f.asked) == 0 {
+	if f == nil || f.manifest.Revision.Version == 0 {
 		return nil
 	}
+	progress := f.take(asked, chunks)
+	if progress {
+		f.repeats = 0
+	}
+	lacks := slices.ContainsFunc(asked, func(h Hash) bool { return find(h, f.sources) == nil })
+	switch {
+	case f.bytes > maxBytes:
+		k.setAside(peer, now)
+		k.fetch = nil
+	case lacks && peer == f.peer:
+		f.manifest = Manifest{}
+		return k.proceed(k.failPeer(peer, now), now)
+	case lacks:
+		k.setAside(peer, now)
+	case progress:
+		return k.proceed(k.askChunks(now), now)
+	}
+	return k.proceed(nil, now)
+}
+
+// take reports whether there was a chunk that was missing.
+func (f *fetch) take(asked []Hash, chunks [][]byte) bool {
+	before := len(f.received)
 	for _, chunk := range chunks {
 		hash := HashOf(chunk)
-		if len(chunk) <= chunkMaxBytes && f.received[hash] == nil && slices.Contains(f.asked, hash) {
+		if len(chunk) <= chunkMaxBytes && f.received[hash] == nil && slices.Contains(asked, hash) {
 			f.received[hash] = chunk
 			f.bytes += len(chunk)
 		}
 	}
-	lacks := slices.ContainsFunc(f.asked, func(h Hash) bool { return f.received[h] == nil })
-	if lacks || f.bytes > maxBytes {
-		f.manifest = Manifest{}
-		f.asked = nil
-		return k.proceed(k.failPeer(peer, now), now)
-	}
-	return k.proceed(k.askChunks(now), now)
+	return len(f.received) > before
 }
 
-// HandleFetchFailure says that a peer did not answer in time.
+// HandleFetchFailure says that a peer did not answer in time, or cannot be
+// reached.
 func (k *Keeper) HandleFetchFailure(peer anvilmodel.VMName, now time.Time) []Action {
 	k.observe(now)
-	if k.fetch == nil || k.fetch.peer != peer {
-		return nil
-	}
 	return k.proceed(k.failPeer(peer, now), now)
 }
 
-// expireFetch gives up a request of which the node has reported nothing.
-func (k *Keeper) expireFetch(now time.Time) []Action {
-	if k.fetch == nil || now.Before(k.fetch.deadline) {
+// repeatFetch asks again when there was no progress for a while.
+func (k *Keeper) repeatFetch(now time.Time) []Action {
+	f := k.fetch
+	if f == nil || now.Before(f.again) {
 		return nil
 	}
-	return k.failPeer(k.fetch.peer, now)
+	f.repeats++
+	actions := k.askNext(now)
+	if f.repeats < askOne || k.fetch == nil {
+		return actions
+	}
+	first := f.peer
+	if more := k.askNext(now); f.peer != first {
+		actions = append(actions, more...)
+	}
+	return actions
 }
 
+// failPeer asks another peer unless that has happened already.
 func (k *Keeper) failPeer(peer anvilmodel.VMName, now time.Time) []Action {
 	k.setAside(peer, now)
+	if k.fetch == nil || k.fetch.peer != peer {
+		return nil
+	}
 	return k.askNext(now)
 }
 
--- a/anvilrevision/join.go
+++ b/anvilrevision/join.go
@@ -29,6 +29,8 @@
 	ready    bool
 	listRead bool
 	peers    map[anvilmodel.VMName]*exchange
+	// order holds the same entries, for iteration in a repeatable order.
+	order []*exchange
 	// floor is the highest version that a serving node said is in force. To
 	// serve a lower one would be a reversal, even if that node is gone.
 	floor     uint64
@@ -38,6 +40,7 @@
 
 // exchange is what a fresh node knows of another VM.
 type exchange struct {
+	name    anvilmodel.VMName
 	listed  bool
 	leaving bool
 	heard   bool
@@ -52,9 +55,12 @@
 func (j *joining) peer(name anvilmodel.VMName) *exchange {
 	e := j.peers[name]
 	if e == nil {
-		e = &exchange{}
+		e = &exchange{
+			name: name,
+		}
 		if len(j.peers) < maxJoinPeers {
 			j.peers[name] = e
+			j.order = append(j.order, e)
 		}
 	}
 	return e
@@ -105,7 +111,7 @@
 
 // forget drops all exchanges, but not the floor.
 func (j *joining) forget() {
-	for _, e := range j.peers {
+	for _, e := range j.order {
 		e.reset()
 	}
 }
@@ -113,7 +119,7 @@
 // forgetFresh drops the exchanges with fresh nodes: they were about another
 // revision than the one now at hand.
 func (j *joining) forgetFresh() {
-	for _, e := range j.peers {
+	for _, e := range j.order {
 		if e.done && !e.state.Serving {
 			e.reset()
 		}
@@ -137,7 +143,7 @@
 	}
 	j := &k.join
 	j.listRead = true
-	for _, e := range j.peers {
+	for _, e := range j.order {
 		e.listed = false
 		e.leaving = false
 	}
@@ -147,9 +153,9 @@
 	for _, name := range leaving {
 		j.peer(name).leaving = true
 	}
-	maps.DeleteFunc(j.peers, func(_ anvilmodel.VMName, e *exchange) bool {
-		return !e.listed && !e.leaving && !e.heard
-	})
+	gone := func(e *exchange) bool { return !e.listed && !e.leaving && !e.heard }
+	maps.DeleteFunc(j.peers, func(_ anvilmodel.VMName, e *exchange) bool { return gone(e) })
+	j.order = slices.DeleteFunc(j.order, gone)
 	return k.proceed(nil, now)
 }
 
@@ -161,12 +167,10 @@
 		return nil
 	}
 	j.nextRound = now.Add(joinPeriod)
-	names := slices.Sorted(maps.Keys(j.peers))
-	k.config.Random.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+	k.config.Random.Shuffle(len(j.order), func(a, b int) { j.order[a], j.order[b] = j.order[b], j.order[a] })
 	var actions []Action
 	repeated := false
-	for _, name := range names {
-		e := j.peers[name]
+	for _, e := range j.order {
 		if len(actions) == joinCount {
 			break
 		}
@@ -177,7 +181,7 @@
 		e.asked = now
 		actions = append(actions, Action{
 			Kind: ActionAnnounce,
-			Peer: name,
+			Peer: e.name,
 		})
 	}
 	return actions
@@ -204,6 +208,7 @@
 	}
 	k.join.ready = true
 	clear(k.join.peers)
+	k.join.order = nil
 	return []Action{{
 		Kind:     ActionReady,
 		Revision: k.inForce.revision,
@@ -232,17 +237,16 @@
 // there is to wait for, if anything.
 func (k *Keeper) servingPeer() (peer anvilmodel.VMName, waiting string) {
 	inForce := k.inForce.revision
-	for _, name := range slices.Sorted(maps.Keys(k.join.peers)) {
-		e := k.join.peers[name]
+	for _, e := range k.join.order {
 		switch {
 		case !e.done || !e.state.Serving:
 		case e.state.InForce == inForce:
-			return name, ""
+			return e.name, ""
 		case e.state.InForce.Version == inForce.Version:
-			waiting = fmt.Sprintf("version %d is in force at %s with other content", inForce.Version, name)
-			peer = name
+			waiting = fmt.Sprintf("version %d is in force at %s with other content", inForce.Version, e.name)
+			peer = e.name
 		case peer == "":
-			peer = name
+			peer = e.name
 		}
 	}
 	return peer, waiting
@@ -254,7 +258,7 @@
 		return "", "the VM list has not been read, and no serving node has been heard of"
 	}
 	listed, fresh, open := 0, 0, 0
-	for name, e := range j.peers {
+	for _, e := range j.order {
 		if e.listed {
 			listed++
 		}
@@ -264,8 +268,8 @@
 		if !e.tried {
 			open++
 		}
-		if e.done && k.outranks(e.state, name) {
-			return "", fmt.Sprintf("version %d is being fetched from %s", e.state.InForce.Version, name)
+		if e.done && k.outranks(e.state, e.name) {
+			return "", fmt.Sprintf("version %d is being fetched from %s", e.state.InForce.Version, e.name)
 		}
 	}
 	switch {
--- a/anvilrevision/keeper.go
+++ b/anvilrevision/keeper.go
@@ -49,7 +49,9 @@
 	offers       map[anvilmodel.VMName]*offer
 	fetch        *fetch
 	nextAnnounce time.Time
-	join         joining
+	// repeat is when the last change is announced again; zero if it was.
+	repeat time.Time
+	join   joining
 }
 
 // New returns a keeper without a configuration.
@@ -117,14 +119,8 @@
 // Tick does what is due at now. The owner calls it every 250 ms.
 func (k *Keeper) Tick(now time.Time) []Action {
 	k.observe(now)
-	actions := k.expireFetch(now)
-	if k.join.ready && !now.Before(k.nextAnnounce) {
-		k.nextAnnounce = now.Add(announcePeriod)
-		actions = append(actions, Action{
-			Kind:  ActionAnnounce,
-			Count: 1,
-		})
-	}
+	actions := k.repeatFetch(now)
+	actions = append(actions, k.announceDue(now)...)
 	actions = append(actions, k.readService(now)...)
 	return k.proceed(actions, now)
 }
@@ -136,7 +132,7 @@
 		k.fetch = nil
 		clear(k.offers)
 		k.join.forget()
-		k.nextAnnounce = now
+		k.repeat = now
 	}
 	k.last = now
 }
@@ -199,7 +195,7 @@
 		return actions
 	}
 	if !r.judgement.OK() {
-		return k.refuse(r, source)
+		return k.refuse(r, source, now)
 	}
 	return k.accept(r, source, now)
 }
@@ -232,7 +228,7 @@
 	}}
 }
 
-func (k *Keeper) refuse(r Result, source Source) []Action {
+func (k *Keeper) refuse(r Result, source Source, now time.Time) []Action {
 	k.refusals.add(r.revision)
 	highest := k.refused == nil || k.refused.revision.Version <= r.revision.Version
 	if highest && r.revision.Version > k.inForce.revision.Version {
@@ -247,7 +243,7 @@
 			Source:   source,
 			Cause:    fmt.Sprintf("%d findings in version %d from %s", len(findings), r.revision.Version, source),
 		},
-		announceWidely(),
+		k.announceWidely(now),
 	}
 }
 
@@ -262,7 +258,7 @@
 	k.dropOffers()
 	k.join.forgetFresh()
 	return []Action{
-		announceWidely(),
+		k.announceWidely(now),
 		{
 			Kind:     ActionApply,
 			Revision: r.revision,
