Audit unreadable documents and check properties more strictly

Cause: too many or too large documents at the service only gave a log line; watchers read everything at the same time; the property allowed 14 s.

--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -64,6 +64,9 @@
 	// number of the last one.
 	applyLock sync.Mutex
 	applied   uint64
+	// unreadable is the text of the last audited error of a read that returned
+	// unacceptable documents.
+	unreadable atomic.Value
 
 	originLock sync.Mutex
 	origin     *anvilquery.Origin
--- a/anvilnode/platform.go
+++ b/anvilnode/platform.go
@@ -4,9 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"anvilbridge/anvilaudit"
 	"anvilbridge/anvilconfig"
 	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilplatform"
 	"anvilbridge/anvilrevision"
 )
 
@@ -54,8 +58,10 @@
 	read, err := n.platform.ReadConfig(n.background, after, wait)
 	if err != nil {
 		n.config.Log.Warn().Str("event", "config-read-failed").Err(err).Send()
+		n.recordUnreadable(err)
 		return false
 	}
+	n.unreadable.Store("")
 	n.heardPlatform(sent)
 	if read.NotModified {
 		n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
@@ -76,6 +82,23 @@
 	return true
 }
 
+// recordUnreadable audits, once, documents that are too large or malformed to be
+// judged. Other errors say nothing about the documents.
+func (n *Node) recordUnreadable(err error) {
+	if !errorx.IsOfType(err, anvilplatform.TooLarge) && !errorx.IsOfType(err, anvilplatform.Malformed) {
+		return
+	}
+	cause := err.Error()
+	if n.unreadable.Swap(cause) == cause {
+		return
+	}
+	n.record(anvilaudit.Event{
+		Kind:    anvilaudit.KindConfigRefused,
+		Subject: string(n.config.Name),
+		Cause:   cause,
+	})
+}
+
 func (n *Node) heardPlatform(sent time.Time) {
 	n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		m.PlatformHeard(sent, now, a)
--- a/anvilrevision/bench_test.go
+++ b/anvilrevision/bench_test.go
@@ -17,17 +17,17 @@
 	controlRate = 4096
 )
 
-// designBase returns a base file of 1 MB with 3,000 leafs; another edit differs
-// in one line in the middle.
+// designBase returns a base file of 1 MB with 3,000 leafs. Each edit up to 10
+// adds one line, each in another place.
 func designBase(edit int) []anvilconfig.Document {
 	var b strings.Builder
 	for i := range 3000 {
-		if i == 1500 {
-			fmt.Fprintf(&b, "# edit %d\n", edit)
+		if i > 0 && i%290 == 0 && i <= edit*290 {
+			fmt.Fprintf(&b, "# edit %d\n", i)
 		}
 		fmt.Fprintf(&b, "    service-%02d-%04d-a:\n      address: 10.%d.%d.%d:7000\n      failure-domain: fd-%d\n", i%30, i, i/2500, i/250%10, i%250, i%4)
 		for line := range 3 {
-			fmt.Fprintf(&b, "      # mill %d, section %d: rag lots, beater runs and pulp grades\n", i*7919%10007, line)
+			fmt.Fprintf(&b, "      # mill %d, section %d: rag lots, beater runs and pulp grades of the season\n", i*7919%10007, line)
 		}
 	}
 	return text(b.String())
@@ -58,21 +58,20 @@
 	}
 }
 
-// spread returns a fleet in which one node has just accepted version 2.
+// spread returns a serving fleet in which one node has just accepted version 2.
 func spread(b *testing.B, nodes int, loss float64, seed uint64) *fleet {
 	b.Helper()
-	f := newFleet(b, nodes, seed, true)
+	f := newFleet(b, nodes, seed)
 	f.serviceDown = true
 	for _, v := range f.vms {
 		run(v.Keeper, v.Offer(1, text("one"), f.now, f.now), f.now)
+		v.HandleExchange("vm-000", anvilrevision.State{Serving: true}, f.now)
 	}
 	f.run(5 * time.Second)
 	f.loss = loss
 	f.publish(2, "two")
-	f.judging = 0
 	f.offer(f.vms[0])
-	f.run(0)
-	f.judging = 250 * time.Millisecond
+	f.run(judging)
 	return f
 }
 
@@ -80,14 +79,14 @@
 // of 1 MB, with announcements, against sending the document, and the average
 // rate of a day with 230 changes and the regular exchanges.
 func BenchmarkChange(b *testing.B) {
-	const nodes = 16
+	const nodes, edits = 16, 10
 	for b.Loop() {
-		f := newFleet(b, nodes, 1, true)
-		sent := func() (total int) {
+		f := newFleet(b, nodes, 1)
+		sent := func() (total float64) {
 			for _, v := range f.vms {
-				total += v.bytes
+				total += float64(v.bytes) / nodes
 			}
-			return total / nodes
+			return total
 		}
 		f.version, f.documents = 1, designBase(0)
 		f.settles(1)
@@ -95,13 +94,15 @@
 		f.serviceDown = true
 		before := sent()
 		f.run(10 * time.Minute)
-		idle := float64(sent()-before) / 600
+		idle := (sent() - before) / (10 * time.Minute).Seconds()
 		before = sent()
-		f.version, f.documents = 2, designBase(1)
-		f.offer(f.vms[0])
-		f.settles(2)
-		f.run(2 * time.Second)
-		change := float64(sent() - before)
+		for edit := 1; edit <= edits; edit++ {
+			f.version, f.documents = uint64(edit+1), designBase(edit)
+			f.offer(f.vms[0])
+			f.settles(f.version)
+			f.run(2 * time.Second)
+		}
+		change := (sent() - before) / edits
 		rate := idle + change*changesPerDay/secondsPerDay
 		if rate > controlRate {
 			b.Fatalf("%.0f bytes a second and node", rate)
--- a/anvilrevision/fetch.go
+++ b/anvilrevision/fetch.go
@@ -1,7 +1,6 @@
 package anvilrevision
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -20,25 +19,10 @@
 	askAgainTimes = 4
 	// askOne is the number of times that one peer is asked; then it is two.
 	askOne = 2
-	// A peer that failed is not asked again for failureDelay, doubling up to
-	// 6.4 s.
-	failureDelay       = 100 * time.Millisecond
-	failureDelayDouble = 6
 	// chunksPerRequest keeps a reply under 2 MB.
 	chunksPerRequest = 128
-	// maxOffers bounds the peers of which offers are remembered.
-	maxOffers = 1024
 )
 
-// offer is what a peer has, as far as it is known.
-type offer struct {
-	inForce  Revision
-	refused  Revision
-	failures int
-	// notBefore is when the peer may be asked again.
-	notBefore time.Time
-}
-
 // fetch is a transfer of a revision from peers. There is one at a time.
 type fetch struct {
 	// peer was asked last.
@@ -56,95 +40,6 @@
 	sources []map[Hash][]byte
 }
 
-// note records what a peer has. Only peers that may have something to fetch are
-// kept.
-func (k *Keeper) note(peer anvilmodel.VMName, inForce, refused Revision) {
-	if !k.newer(inForce) && !k.newer(refused) && !k.yields(inForce, peer) {
-		delete(k.offers, peer)
-		return
-	}
-	o := k.offers[peer]
-	if o == nil {
-		if len(k.offers) >= maxOffers {
-			return
-		}
-		o = &offer{}
-		k.offers[peer] = o
-	}
-	o.inForce = inForce
-	o.refused = refused
-}
-
-// newer reports whether a revision is above the one in force and not refused.
-func (k *Keeper) newer(r Revision) bool {
-	return r.Version > k.inForce.revision.Version && !k.refusals.has(r)
-}
-
-// dropOffers forgets the peers that offer nothing newer.
-func (k *Keeper) dropOffers() {
-	maps.DeleteFunc(k.offers, func(_ anvilmodel.VMName, o *offer) bool {
-		return max(o.inForce.Version, o.refused.Version) <= k.inForce.revision.Version
-	})
-	k.fetch = nil
-}
-
-// wants reports whether the revision in force at a peer has to be fetched.
-func (k *Keeper) wants(r Revision, peer anvilmodel.VMName) bool {
-	return !k.atHand(r.Version) && (k.newer(r) || k.yields(r, peer))
-}
-
-// wantsRefused reports whether a revision that a peer refused has to be fetched,
-// to be judged here as well.
-func (k *Keeper) wantsRefused(r Revision, _ anvilmodel.VMName) bool {
-	if k.refused != nil && r.Version <= k.refused.revision.Version {
-		return false
-	}
-	return k.newer(r) && !k.atHand(r.Version)
-}
-
-// atHand reports whether a version is being judged or waits for it.
-func (k *Keeper) atHand(version uint64) bool {
-	return (k.running != nil && k.running.version == version) || (k.next != nil && k.next.version == version)
-}
-
-// choose returns the peer to ask next and the revision to ask for. Refused
-// revisions come after those that may be in force.
-func (k *Keeper) choose(now time.Time) (anvilmodel.VMName, Revision) {
-	inForce := func(o *offer) Revision { return o.inForce }
-	if peer, r := k.best(now, inForce, k.wants); peer != "" {
-		return peer, r
-	}
-	refused := func(o *offer) Revision { return o.refused }
-	return k.best(now, refused, k.wantsRefused)
-}
-
-// best draws one of the peers with the highest wanted version, another one than
-// the last if there is a choice.
-func (k *Keeper) best(now time.Time, of func(*offer) Revision, wanted func(Revision, anvilmodel.VMName) bool) (anvilmodel.VMName, Revision) {
-	var highest uint64
-	var peers []anvilmodel.VMName
-	for _, name := range slices.Sorted(maps.Keys(k.offers)) {
-		o := k.offers[name]
-		r := of(o)
-		if r.Version < highest || now.Before(o.notBefore) || !wanted(r, name) {
-			continue
-		}
-		if r.Version > highest {
-			highest = r.Version
-			peers = peers[:0]
-		}
-		peers = append(peers, name)
-	}
-	if len(peers) > 1 {
-		peers = slices.DeleteFunc(peers, func(name anvilmodel.VMName) bool { return name == k.fetch.peer })
-	}
-	if len(peers) == 0 {
-		return "", Revision{}
-	}
-	peer := peers[k.config.Random.IntN(len(peers))]
-	return peer, of(k.offers[peer])
-}
-
 // startFetch asks a peer for the highest revision, unless a fetch runs.
 func (k *Keeper) startFetch(now time.Time) []Action {
 	if k.fetch != nil || len(k.offers) == 0 {
@@ -327,14 +222,3 @@
 	}
 	return k.askNext(now)
 }
-
-// setAside delays the next request to a peer, so that one that offers what it
-// does not have costs little.
-func (k *Keeper) setAside(peer anvilmodel.VMName, now time.Time) {
-	o := k.offers[peer]
-	if o == nil {
-		return
-	}
-	o.notBefore = now.Add(failureDelay << min(o.failures, failureDelayDouble))
-	o.failures++
-}
--- a/anvilrevision/property_test.go
+++ b/anvilrevision/property_test.go
@@ -35,7 +35,9 @@
 				old := rapid.Uint64Range(0, last).Draw(t, "old")
 				f.publish(old, fmt.Sprint("good", old))
 			case 3:
-				v.paused = f.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "pause")) * time.Second)
+				if f.now.After(v.paused) {
+					v.paused = f.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "pause")) * time.Second)
+				}
 			case 4:
 				// A node that serves the highest version stays reachable: what
 				// only a lost node had is lost.
@@ -58,8 +60,7 @@
 		f.split(0, 0, 0, 0)
 		f.loss = 0
 		before := highest()
-		f.run(bound)
-		f.settles(max(before, f.vms[0].InForce().Version))
+		f.within(bound, "the same version in force everywhere", func() bool { return f.serves(max(before, f.vms[0].InForce().Version)) })
 		f.serviceDown = false
 		f.publish(last+1, "last")
 		f.settles(last + 1)
--- a/anvilrevision/pump_test.go
+++ b/anvilrevision/pump_test.go
@@ -18,6 +18,8 @@
 	// bound is the time within which a change has to be in force everywhere.
 	bound = 7 * time.Second
 	delay = 2 * time.Millisecond
+	// judging is the time to judge 1 MB, as measured.
+	judging = 250 * time.Millisecond
 	// exchangeBytes is the encoded size of an announcement or its reply.
 	exchangeBytes = 90
 )
@@ -56,15 +58,13 @@
 // fleet passes messages between keepers under a virtual clock, and checks at
 // every step that none of them reverts or applies a refused revision.
 type fleet struct {
-	t       rapid.TB
-	now     time.Time
-	random  *rand.Rand
-	queue   []event
-	vms     []*vm
-	alone   bool // nodes serve without the exchanges of fresh ones
-	loss    float64
-	judging time.Duration
-	reads   map[int64]int // by second
+	t      rapid.TB
+	now    time.Time
+	random *rand.Rand
+	queue  []event
+	vms    []*vm
+	loss   float64
+	reads  map[int64]int // by second
 	// hook sees every action; tamper may change or delay an answer to a fetch.
 	hook   func(v *vm, a anvilrevision.Action)
 	tamper func(w *vm, m *anvilrevision.Manifest, chunks [][]byte) time.Duration
@@ -75,16 +75,14 @@
 	serviceDelay time.Duration
 }
 
-func newFleet(t rapid.TB, count int, seed uint64, alone bool) *fleet {
+func newFleet(t rapid.TB, count int, seed uint64) *fleet {
 	f := &fleet{
-		t:       t,
-		now:     time.Unix(1_000_000, 0),
-		random:  rand.New(rand.NewPCG(seed, 9)),
-		alone:   alone,
-		judging: 250 * time.Millisecond,
-		reads:   make(map[int64]int),
-		hook:    func(*vm, anvilrevision.Action) {},
-		tamper:  func(*vm, *anvilrevision.Manifest, [][]byte) time.Duration { return 0 },
+		t:      t,
+		now:    time.Unix(1_000_000, 0),
+		random: rand.New(rand.NewPCG(seed, 9)),
+		reads:  make(map[int64]int),
+		hook:   func(*vm, anvilrevision.Action) {},
+		tamper: func(*vm, *anvilrevision.Manifest, [][]byte) time.Duration { return 0 },
 	}
 	for i := range count {
 		f.vms = append(f.vms, &vm{name: anvilmodel.VMName(fmt.Sprintf("vm-%03d", i)), watching: i < 3})
@@ -98,7 +96,7 @@
 // replace starts a fresh process, which has read the list.
 func (f *fleet) replace(v *vm) {
 	random := rand.New(rand.NewPCG(f.random.Uint64(), 1))
-	v.Keeper = anvilrevision.New(anvilrevision.Config{Self: v.name, Judge: judge, ServeAlone: f.alone, Random: random}, f.now)
+	v.Keeper = anvilrevision.New(anvilrevision.Config{Self: v.name, Judge: judge, Random: random}, f.now)
 	v.applied, v.findings, v.events = 0, make(map[uint64]int), make(map[anvilrevision.ActionKind]int)
 	others := []anvilmodel.VMName{}
 	for _, w := range f.vms {
@@ -166,14 +164,17 @@
 	return f.now.Sub(start)
 }
 
+// serves reports whether all nodes that run serve the version.
+func (f *fleet) serves(version uint64) bool {
+	return !slices.ContainsFunc(f.vms, func(v *vm) bool {
+		return f.now.After(v.paused) && (v.InForce().Version != version || !v.Ready())
+	})
+}
+
 // settles waits until all nodes that run serve the version.
 func (f *fleet) settles(version uint64) time.Duration {
 	f.t.Helper()
-	return f.within(bound, fmt.Sprintf("version %d in force everywhere", version), func() bool {
-		return !slices.ContainsFunc(f.vms, func(v *vm) bool {
-			return f.now.After(v.paused) && (v.InForce().Version != version || !v.Ready())
-		})
-	})
+	return f.within(bound, fmt.Sprintf("version %d in force everywhere", version), func() bool { return f.serves(version) })
 }
 
 // split puts each node on a side.
@@ -263,7 +264,9 @@
 	f.call(v, w, a.Timeout, func() (time.Duration, func()) {
 		if a.Kind == anvilrevision.ActionFetchManifest {
 			m := w.Manifest(a.Revision.Version)
-			w.bytes += 50 + 18*len(m.Documents[0].Chunks)
+			for _, d := range m.Documents {
+				w.bytes += 50 + 18*len(d.Chunks)
+			}
 			late := f.tamper(w, &m, nil)
 			return late, func() { f.do(v, v.HandleManifest(w.name, m, f.now)) }
 		}
@@ -288,9 +291,9 @@
 		switch a.Kind {
 		case anvilrevision.ActionRun:
 			result := a.Task.Run()
-			f.on(v, f.judging, func() { f.do(v, v.HandleResult(result, f.now)) })
+			f.on(v, judging, func() { f.do(v, v.HandleResult(result, f.now)) })
 		case anvilrevision.ActionApply:
-			if a.Release == nil || a.Revision.Version < v.applied || (a.Revision.Version == v.applied && v.Ready()) {
+			if a.Release == nil || a.Revision.Version < v.applied || (a.Revision.Version == v.applied && v.events[anvilrevision.ActionReady] > 0) {
 				f.t.Fatalf("%s applied version %d after %d, release %v", v.name, a.Revision.Version, v.applied, a.Release)
 			}
 			v.applied = a.Revision.Version
--- a/anvilrevision/scenario_test.go
+++ b/anvilrevision/scenario_test.go
@@ -29,7 +29,7 @@
 // watch the service.
 func running(t rapid.TB, seed uint64, watchers int) *fleet {
 	t.Helper()
-	f := newFleet(t, 4, seed, false)
+	f := newFleet(t, 4, seed)
 	f.publish(1, "one")
 	f.settles(1)
 	for i, v := range f.vms {
@@ -189,7 +189,7 @@
 // Guards against a fleet that never serves after all VMs restart at once with
 // one of them dead but listed, or that serves less than what one of them has.
 func TestAllFreshWithADeadListedVM(t *testing.T) {
-	f := newFleet(t, 4, 12, false)
+	f := newFleet(t, 4, 12)
 	f.vms[3].paused = f.now.Add(time.Hour)
 	f.publish(2, "two")
 	f.offer(f.vms[2])
@@ -224,7 +224,7 @@
 		"c: leaving one has more":    {leaving: names{"a"}, peers: peers{"a": state(6, true)}, waits: "version 6 is in force at a"},
 		"serve alone":                {unread: true, alone: true},
 	} {
-		f := newFleet(t, 0, 13, test.alone)
+		f := newFleet(t, 0, 13)
 		k := anvilrevision.New(anvilrevision.Config{Self: "x", Judge: judge, ServeAlone: test.alone, Random: f.random}, f.now)
 		if !strings.Contains(k.Waiting(), "no valid configuration") {
 			t.Errorf("without a configuration: waits for %q", k.Waiting())
@@ -254,7 +254,7 @@
 // Guards against reads beyond the service's 2,000 a second when 410 nodes start
 // or lose each other at once, and against more watchers than 3 for each domain.
 func TestReadBudget(t *testing.T) {
-	f := newFleet(t, 410, 14, false)
+	f := newFleet(t, 410, 14)
 	f.serviceDown = true
 	domains := make([][]anvilmodel.VMName, 4)
 	for i, v := range f.vms {
--- a/anvilrevision/service.go
+++ b/anvilrevision/service.go
@@ -25,7 +25,8 @@
 	readSpread = time.Second
 	// A read of everything shows whether the service went back to an older
 	// version, which a read for newer ones cannot show. It is made after as
-	// many seconds as keep it at fullReadRate bytes a second, within bounds.
+	// many seconds as keep it at fullReadRate bytes a second, within bounds,
+	// and at different times by different nodes.
 	fullReadRate     = 512
 	fullReadShortest = time.Minute
 	fullReadLongest  = time.Hour
@@ -97,8 +98,9 @@
 
 func (k *Keeper) serviceServed(version uint64, bytes int, now time.Time) {
 	wait := time.Duration(bytes) * time.Second / fullReadRate
+	wait = min(max(wait, fullReadShortest), fullReadLongest)
 	k.service.served = version
-	k.service.nextFull = now.Add(min(max(wait, fullReadShortest), fullReadLongest))
+	k.service.nextFull = now.Add(wait/2 + time.Duration(k.config.Random.Int64N(int64(wait))))
 }
 
 // servedOld reports a stale service once for each stretch. A reply that was
