Read audit kinds from their package only

Cause: the capacity measurements have a type Kind too, and its names were taken for audit kinds. Change: the test names the files of each list. Conclusion: the lists match again.

--- a/anvilmetric/docs_test.go
+++ b/anvilmetric/docs_test.go
@@ -38,11 +38,11 @@
 
 // Guards against log events and audit kinds that are missing on the page.
 func TestDocumentedEvents(t *testing.T) {
-	for table, pattern := range map[string]string{
-		"event": `Str\("event", "([a-z-]+)"\)`,
-		"kind":  `Kind\w+\s+Kind = "([a-z-]+)"`,
+	for table, source := range map[string]struct{ files, pattern string }{
+		"event": {files: "../anvil*/*.go", pattern: `Str\("event", "([a-z-]+)"\)`},
+		"kind":  {files: "../anvilaudit/*.go", pattern: `Kind\w+\s+Kind = "([a-z-]+)"`},
 	} {
-		want := sourceNames(t, regexp.MustCompile(pattern))
+		want := sourceNames(t, source.files, regexp.MustCompile(source.pattern))
 		got := []string{}
 		for _, row := range tableRows(t, table) {
 			got = append(got, strings.Trim(row[0], "`"))
@@ -54,11 +54,11 @@
 	}
 }
 
-// sourceNames returns the matches of a pattern in all Go files but tests and
-// the demo, which is no part of a node.
-func sourceNames(t *testing.T, pattern *regexp.Regexp) []string {
+// sourceNames returns the matches of a pattern in Go files but tests and the
+// demo, which is no part of a node.
+func sourceNames(t *testing.T, glob string, pattern *regexp.Regexp) []string {
 	t.Helper()
-	files, err := filepath.Glob("../anvil*/*.go")
+	files, err := filepath.Glob(glob)
 	if err != nil {
 		t.Fatal(err)
 	}
