--- a/anvilcapacity/deployment.go
+++ b/anvilcapacity/deployment.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 
 	"anvilbridge/anvilassign"
 	"anvilbridge/anvilmodel"
@@ -17,6 +18,8 @@
 	serviceReplicas    = 2
 	serviceSlots       = 3
 	serviceConnections = 30
+	// coldDuration is short, so that measurements with real leafs need not wait.
+	coldDuration = 0 * time.Second
 )
 
 func domainName(i int) anvilmodel.FailureDomain {
@@ -108,7 +111,8 @@
 	for i, l := range leafs {
 		if l.Service != service {
 			service = l.Service
-			fmt.Fprintf(&b, "  %s:\n    slots: %d\n    connections: %d\n    leafs:\n", service, serviceSlots, serviceConnections)
+			fmt.Fprintf(&b, "  %s:\n    slots: %d\n    connections: %d\n    cold-duration: %s\n    leafs:\n",
+				service, serviceSlots, serviceConnections, coldDuration)
 		}
 		if padding != nil {
 			writeComments(&b, string(l.Name), padding[i])
--- a/anvilcapacity/run.go
+++ b/anvilcapacity/run.go
@@ -59,6 +59,9 @@
 		{name: "configuration", run: measureConfiguration},
 		{name: "spread", run: measureSpread},
 		{name: "ticket", run: measureTicket},
+		{name: "status", run: measureStatus},
+		{name: "node", run: measureNode},
+		{name: "path", run: measurePath},
 	}
 }
 
