--- a/anvilcapacity/design.go
+++ b/anvilcapacity/design.go
@@ -64,7 +64,7 @@
 )
 
 // exchangesPerSec is how many members a node asks for leaf states in a second.
-const exchangesPerSec = (designNodes - 1) / (designNodes * 0.040)
+const exchangesPerSec = (designNodes - 1) / (designNodes * float64(exchangePerMember) / float64(time.Second))
 
 // pollsPerSec is how many leaf states a node reads in a second.
-const pollsPerSec = nodePrimaries/0.5 + (nodeDispatchers-nodePrimaries)/(backupFactor*0.5)
+const pollsPerSec = (nodePrimaries + (nodeDispatchers-nodePrimaries)/backupFactor) * float64(time.Second) / float64(pollInterval)
--- a/anvilcapacity/dispatcher.go
+++ b/anvilcapacity/dispatcher.go
@@ -79,6 +79,11 @@
 			Rate:   true,
 			Unit:   "cores",
 			Budget: BudgetDataCPU,
+		}, {
+			What: "dispatcher of one leaf, calls of a second",
+			Size: leafCalls,
+			Rate: true,
+			Unit: "cores",
 		}},
 	}
 	count := Slope{
--- a/anvilcapacity/memberfleet.go
+++ b/anvilcapacity/memberfleet.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"runtime"
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
 )
@@ -200,16 +203,25 @@
 			Version: 1,
 		}
 	}
-	ignore := func(anvilmember.Answer) {}
+	var tasks errgroup.Group
+	tasks.SetLimit(runtime.GOMAXPROCS(0))
 	for i, n := range f.nodes {
-		q := anvilmember.ProbeRequest{
-			From: items[(i+1)%len(items)],
-			News: slices.Delete(slices.Clone(items), i, i+1),
-		}
-		for range introductions {
-			n.answer(q, ignore)
-		}
+		tasks.Go(func() error {
+			q := anvilmember.ProbeRequest{
+				From: items[(i+1)%len(items)],
+				News: slices.Delete(slices.Clone(items), i, i+1),
+			}
+			// The answers are of no use, and nothing else is asked for.
+			a := &anvilmember.Actions{}
+			for range introductions {
+				n.core.HandleProbe(0, q, f.time(), a)
+				a.Reset()
+			}
+			return nil
+		})
 	}
+	// No task returns an error.
+	_ = tasks.Wait()
 }
 
 func (f *memberFleet) count(bytes int) {
--- a/anvilcapacity/query.go
+++ b/anvilcapacity/query.go
@@ -149,7 +149,8 @@
 		bytes.Values = append(bytes.Values, allocatedBytes/float64(queries))
 		memory.Values = append(memory.Values, inFlightMemory(newQueryOrigin(n, seed)))
 	}
-	return []Slope{cpu, count, bytes, memory, measureLeafChange()}, nil
+	answer, size, err := measureAnswer()
+	return []Slope{cpu, count, bytes, memory, measureLeafChange(), answer, size}, err
 }
 
 // inFlightMemory returns what one query keeps alive while it waits for replies.
--- a/anvilcapacity/spread.go
+++ b/anvilcapacity/spread.go
@@ -191,7 +191,9 @@
 	f.after(spreadPeer, func() {
 		if !over {
 			over = true
-			n.call(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action { return k.HandleFetchFailure(peer, now) })
+			n.call(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+				return k.HandleFetchFailure(peer, now)
+			})
 		}
 	})
 	for _, p := range f.nodes {
--- a/anvilcapacity/upstream.go
+++ b/anvilcapacity/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -11,7 +10,6 @@
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilstandin"
 	"anvilbridge/anvilupstream"
-	"anvilbridge/anvilwire"
 )
 
 // upstreamWorkers is the number of connections that carry calls at a time.
@@ -154,162 +152,3 @@
 	}
 	return s, first
 }
-
-// bareCalls sends the requests of calls as bytes and reads replies as bytes.
-func bareCalls(address netip.AddrPort, worker, count int) error {
-	conn, err := net.DialTimeout("tcp", address.String(), time.Second)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = conn.Close() }()
-	reply := make([]byte, 16<<10)
-	for i := range count {
-		if _, err := conn.Write(bareRequest(leafCall(worker<<20|i), address)); err != nil {
-			return err
-		}
-		// The reply is small and was written at once.
-		if _, err := conn.Read(reply); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func bareRequest(c anvilmodel.Call, address netip.AddrPort) []byte {
-	b := make([]byte, 0, 1024)
-	b = fmt.Appendf(b, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", anvilwire.PathLeafCall, address, len(c.Body))
-	for name, values := range anvilwire.CallHeader(&c) {
-		b = fmt.Appendf(b, "%s: %s\r\n", name, values[0])
-	}
-	return append(append(b, "\r\n"...), c.Body...)
-}
-
-// bareServer answers each read with one reply.
-type bareServer struct {
-	listener net.Listener
-	address  netip.AddrPort
-	tasks    sync.WaitGroup
-}
-
-func startBareServer() (*bareServer, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	s := &bareServer{
-		listener: listener,
-		address:  listener.Addr().(*net.TCPAddr).AddrPort(),
-	}
-	s.tasks.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			s.tasks.Go(func() { answerBare(conn) })
-		}
-	})
-	return s, nil
-}
-
-func answerBare(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	reply := []byte("HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n" + string(make([]byte, 400)))
-	request := make([]byte, 16<<10)
-	for {
-		if _, err := conn.Read(request); err != nil {
-			return
-		}
-		if _, err := conn.Write(reply); err != nil {
-			return
-		}
-	}
-}
-
-func (s *bareServer) close() {
-	_ = s.listener.Close()
-	s.tasks.Wait()
-}
-
-// measurePolls measures reads of a leaf's state.
-func measurePolls(ctx context.Context, address netip.AddrPort) ([]Slope, error) {
-	sizes := []int{250, 500, 1_000}
-	slope := func(name, what string, kind Kind, unit string, targets ...Target) Slope {
-		return Slope{
-			Name:     name,
-			What:     what,
-			Kind:     kind,
-			Unit:     unit,
-			SizeName: "polls",
-			Sizes:    floats(sizes),
-			Targets:  targets,
-		}
-	}
-	target := func(what, unit string, limit float64, budget BudgetName) Target {
-		return Target{What: what, Size: pollsPerSec, Rate: true, Unit: unit, Limit: limit, Budget: budget}
-	}
-	cpu := slope("poll-cpu", "reads of a leaf's state, the stand-in included", KindCPU, "s",
-		target("polls of a second", "cores", designCPU, BudgetControlCPU))
-	sent := slope("poll-sent-bytes", "requests for a leaf's state, without TCP and IP headers", KindCount, "bytes",
-		target("polls of a second", "bytes/s", designBytes, BudgetControlSent))
-	received := slope("poll-received-bytes", "a leaf's states, without TCP and IP headers; each Date header has 37 bytes", KindCount, "bytes",
-		target("polls of a second", "bytes/s", designBytes, BudgetControlReceived))
-	for _, n := range sizes {
-		w := &wireCounter{}
-		client := anvilupstream.New(anvilupstream.Config{
-			Dial: func(ctx context.Context, _, _ string) (net.Conn, error) { return w.dial(ctx, address) },
-		})
-		var err error
-		run := func() {
-			for range n {
-				if err == nil {
-					_, err = client.State(ctx, address)
-				}
-			}
-		}
-		run()
-		sent.Values = append(sent.Values, float64(w.sent.Load()))
-		received.Values = append(received.Values, float64(w.received.Load()))
-		cpu.Values = append(cpu.Values, leastCPU(run))
-		client.Shutdown()
-		if err != nil {
-			return nil, err
-		}
-	}
-	return []Slope{cpu, sent, received}, nil
-}
-
-// measureConnections weighs open connections to a leaf.
-func measureConnections(ctx context.Context, address netip.AddrPort) (Slope, error) {
-	sizes := []int{50, 100, 200}
-	s := Slope{
-		Name:     "upstream-memory",
-		What:     "idle numbered connections, heap and stacks, the stand-in included",
-		Kind:     KindHeap,
-		Unit:     "bytes",
-		SizeName: "connections",
-		Sizes:    floats(sizes),
-		Targets: []Target{{
-			What: "all connections of a node's shares, 10 to each of its 22 leafs",
-			Size: nodeDispatchers * serviceConnections / 3,
-			Rate: true,
-			Unit: "bytes",
-		}},
-	}
-	for _, n := range sizes {
-		before := liveHeap() + stacks()
-		client := anvilupstream.New(anvilupstream.Config{})
-		var err error
-		for i := range n {
-			if _, err = client.Open(ctx, address, i+1); err != nil {
-				break
-			}
-		}
-		s.Values = append(s.Values, liveHeap()+stacks()-before)
-		client.Shutdown()
-		if err != nil {
-			return s, err
-		}
-	}
-	return s, nil
-}
