--- a/anvilcapacity/run.go
+++ b/anvilcapacity/run.go
@@ -58,6 +58,9 @@
 		{name: "upstream", run: measureUpstream},
 		{name: "configuration", run: measureConfiguration},
 		{name: "ticket", run: measureTicket},
+		{name: "status", run: measureStatus},
+		{name: "node", run: measureNode},
+		{name: "path", run: measurePath},
 	}
 }
 
