Adapt the capacity measurements to the revision keeper

Cause: judging runs outside the keeper's lock and announcements carry states. Change: the transfer runs the tasks; the measurement of the spread is left to the benchmarks of anvilrevision, which use the same keepers.

--- a/anvilcapacity/transfer.go
+++ b/anvilcapacity/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"anvilbridge/anvilconfig"
@@ -65,6 +66,9 @@
 	}
 }
 
+// transferSeed feeds choices that do not change the bytes of a transfer.
+const transferSeed = 1
+
 // adopt puts documents of the configuration service into force.
 func adopt(k *anvilrevision.Keeper, version uint64, documents []anvilconfig.Document, now time.Time) {
 	for _, a := range k.Offer(version, documents, now, now) {
@@ -81,10 +85,12 @@
 	defer cancel()
 	now := time.Unix(1_700_000_000, 0)
 	giver := anvilrevision.New(anvilrevision.Config{
-		Judge: acceptAll,
+		Judge:  acceptAll,
+		Random: rand.New(rand.NewPCG(transferSeed, 0)),
 	}, now)
 	taker := anvilrevision.New(anvilrevision.Config{
-		Judge: acceptAll,
+		Judge:  acceptAll,
+		Random: rand.New(rand.NewPCG(transferSeed, 0)),
 	}, now)
 	adopt(giver, 2, after, now)
 	if before != nil {
