Test the node runtime over loopback sockets

The tests led to further fixes: a node that is replaced refuses at once but still answers, moved leafs keep their judgement, a refused body is read so that its caller gets the refusal.

--- a/anvilnode/control.go
+++ b/anvilnode/control.go
@@ -148,7 +148,7 @@
 	if e.Kind == anvilmember.EventSuperseded {
 		// The VM has been replaced: another process has this node's slot, so that
 		// new work stops at once.
-		n.goRun(func() { n.leave(n.background, "superseded by a later process", 0) })
+		n.goRun(func() { n.leave(n.background, "superseded by a later process", true) })
 	}
 }
 
--- a/anvilnode/leafstates.go
+++ b/anvilnode/leafstates.go
@@ -171,7 +171,18 @@
 				delete(versions, incarnation)
 			}
 		}
-		n.pause(max(exchangeInterval, time.Duration(len(members.all))*exchangePerMember))
+		n.awaitExchange(max(exchangeInterval, time.Duration(len(members.all))*exchangePerMember))
+	}
+}
+
+// awaitExchange waits, or less when the configuration has changed.
+func (n *Node) awaitExchange(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.exchange:
+	case <-n.background.Done():
 	}
 }
 
--- /dev/null
+++ b/anvilnode/network_test.go
@@ -0,0 +1,98 @@
+package anvilnode_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+)
+
+// stallNetwork dials connections between nodes that can be made to deliver nothing
+// any more, in both directions, while they stay open and new ones work. It counts
+// what the dialing sides write.
+type stallNetwork struct {
+	mu   sync.Mutex
+	open map[*stallConn]struct{}
+
+	writes, bytes atomic.Int64
+}
+
+func (s *stallNetwork) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	c := &stallConn{
+		Conn:    raw,
+		network: s,
+		stalled: make(chan struct{}),
+		closed:  make(chan struct{}),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = make(map[*stallConn]struct{})
+	}
+	s.open[c] = struct{}{}
+	return c, nil
+}
+
+// stall silences the connections that are open now and returns them.
+func (s *stallNetwork) stall() []*stallConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var conns []*stallConn
+	for c := range s.open {
+		close(c.stalled)
+		conns = append(conns, c)
+	}
+	s.open = nil
+	return conns
+}
+
+type stallConn struct {
+	net.Conn
+	network   *stallNetwork
+	stalled   chan struct{}
+	closed    chan struct{}
+	closeOnce sync.Once
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *stallConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if isClosed(c.stalled) {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *stallConn) Write(p []byte) (int, error) {
+	if isClosed(c.stalled) {
+		return len(p), nil
+	}
+	c.network.writes.Add(1)
+	c.network.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+func (c *stallConn) Close() error {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		delete(c.network.open, c)
+		c.network.mu.Unlock()
+		_ = c.Conn.Close()
+	})
+	return nil
+}
--- a/anvilnode/runners.go
+++ b/anvilnode/runners.go
@@ -46,6 +46,10 @@
 		n.retire(r)
 	}
 	n.applications.Add(1)
+	select {
+	case n.exchange <- struct{}{}:
+	default:
+	}
 }
 
 // applyRunner starts or changes the dispatcher of a leaf. It returns the one that
@@ -125,9 +129,11 @@
 	r.stop()
 	n.runnerLock.Lock()
 	delete(n.retired, r)
-	_, assigned := n.runners[r.leaf.Name]
 	n.runnerLock.Unlock()
-	if !assigned {
+	// The nodes that dispatch for the leaf now may not have asked for the judgement
+	// of this one yet.
+	n.pause(assignmentSettle)
+	if n.runner(r.leaf.Name) == nil {
 		n.states.drop(r.leaf.Name)
 	}
 }
--- a/anvilnode/shutdown.go
+++ b/anvilnode/shutdown.go
@@ -20,15 +20,16 @@
 // shutdown limit is over, what still runs is cut off. It returns the number of
 // queries and leaf calls that were cut off. A second call waits for the first.
 func (n *Node) Shutdown(ctx context.Context, cause string) int {
-	return n.leave(ctx, cause, n.addressLifetime()+addressGrace)
+	return n.leave(ctx, cause, false)
 }
 
-// leave shuts down, and serves on for the grace time.
-func (n *Node) leave(ctx context.Context, cause string, grace time.Duration) int {
+// leave shuts down. A node that was replaced refuses new work at once, but still
+// answers those that hold its address.
+func (n *Node) leave(ctx context.Context, cause string, replaced bool) int {
+	if replaced {
+		n.refusing.Store(true)
+	}
 	if !n.leaving.CompareAndSwap(false, true) {
-		if grace == 0 {
-			n.refusing.Store(true)
-		}
 		select {
 		case <-n.stopped:
 		case <-ctx.Done():
@@ -44,12 +45,18 @@
 	ctx, cancel := context.WithTimeout(ctx, n.config.ShutdownLimit)
 	defer cancel()
 	n.updateSelf()
-	sleep(ctx, grace)
+	grace := n.addressLifetime() + addressGrace
+	if !replaced {
+		sleep(ctx, grace)
+	}
 	n.refusing.Store(true)
 	n.peerServer.Drain(ctx)
 	for n.running() > 0 && ctx.Err() == nil {
 		sleep(ctx, shutdownPoll)
 	}
+	if replaced {
+		sleep(ctx, grace)
+	}
 	// The replies to the last queries may still be on their way to the callers.
 	n.server.Drain(ctx)
 	return n.logStopped(cause)
--- a/anvilpeer/codec_test.go
+++ b/anvilpeer/codec_test.go
@@ -106,7 +106,7 @@
 		reply := drawReply(r, call.ID)
 		next <- reply
 		p.send(call)
-		replies := p.awaitReplies(t, count)
+		replies := p.awaitReplies(count)
 		if diff := cmp.Diff(reply, replies[count-1], sameOnWire); diff != "" {
 			r.Fatal(diff)
 		}
--- a/anvilpeer/main_test.go
+++ b/anvilpeer/main_test.go
@@ -37,17 +37,18 @@
 const dispatcher anvilmodel.Incarnation = 77
 
 // eventually waits until a condition holds.
-func eventually(t testing.TB, what string, holds func() bool) {
-	t.Helper()
+func eventually(tb testing.TB, what string, holds func() bool) {
+	tb.Helper()
 	for end := time.Now().Add(generous); !holds(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("not within %s: %s", generous, what)
+			tb.Fatalf("not within %s: %s", generous, what)
 		}
 	}
 }
 
 // peer is a server whose dispatcher is a function of the test, and a client of it.
 type peer struct {
+	tb      testing.TB
 	server  *anvilpeer.Server
 	client  *anvilpeer.RelayClient
 	address netip.AddrPort
@@ -64,8 +65,9 @@
 }
 
 // start serves p and connects its client. Handlers that h does not set are not used.
-func (p *peer) start(t testing.TB, h anvilpeer.Handlers) *peer {
-	t.Helper()
+func (p *peer) start(tb testing.TB, h anvilpeer.Handlers) *peer {
+	tb.Helper()
+	p.tb = tb
 	if p.submit == nil {
 		p.submit = echo
 	}
@@ -83,11 +85,11 @@
 	}
 	server, err := anvilpeer.NewServer(h)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan struct{})
@@ -110,7 +112,7 @@
 		},
 		Dial: p.dial,
 	})
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		p.client.Close()
 		p.stop()
 	})
@@ -131,10 +133,10 @@
 }
 
 // awaitReplies returns the replies so far once there are count of them.
-func (p *peer) awaitReplies(t testing.TB, count int) []anvilmodel.CallReply {
-	t.Helper()
+func (p *peer) awaitReplies(count int) []anvilmodel.CallReply {
+	p.tb.Helper()
 	var replies []anvilmodel.CallReply
-	eventually(t, "replies", func() bool {
+	eventually(p.tb, "replies", func() bool {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		replies = slices.Clone(p.replies)
@@ -143,9 +145,9 @@
 	return replies
 }
 
-func (p *peer) awaitSubmitted(t testing.TB, count int) {
-	t.Helper()
-	eventually(t, "submitted calls", func() bool {
+func (p *peer) awaitSubmitted(count int) {
+	p.tb.Helper()
+	eventually(p.tb, "submitted calls", func() bool {
 		submitted, _ := p.seen()
 		return len(submitted) >= count
 	})
--- a/anvilpeer/relay_test.go
+++ b/anvilpeer/relay_test.go
@@ -36,33 +36,33 @@
 		name string
 		dial anvilpeer.DialFunc
 		// end ends the stream after three calls were handed over.
-		end  func(t *testing.T, p *peer)
+		end  func(p *peer)
 		want map[string]int
 	}{
 		{
 			name: "no connection",
 			dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, refused },
-			end:  func(*testing.T, *peer) {},
+			end:  func(*peer) {},
 			want: map[string]int{"broken not-run": 3},
 		},
 		{
 			name: "closed while connecting",
 			dial: blocked,
-			end:  func(_ *testing.T, p *peer) { p.client.Close() },
+			end:  func(p *peer) { p.client.Close() },
 			want: map[string]int{"broken not-run": 3},
 		},
 		{
 			name: "reset after sending",
-			end: func(t *testing.T, p *peer) {
-				p.awaitSubmitted(t, 3)
+			end: func(p *peer) {
+				p.awaitSubmitted(3)
 				p.client.Reset()
 			},
 			want: map[string]int{"broken unknown": 3},
 		},
 		{
 			name: "other node gone",
-			end: func(t *testing.T, p *peer) {
-				p.awaitSubmitted(t, 3)
+			end: func(p *peer) {
+				p.awaitSubmitted(3)
 				p.stop()
 			},
 			want: map[string]int{"broken unknown": 3},
@@ -75,8 +75,8 @@
 				dial:   c.dial,
 			}).start(t, anvilpeer.Handlers{})
 			p.send(callNumber(1), callNumber(2), callNumber(3))
-			c.end(t, p)
-			if diff := cmp.Diff(c.want, outcomes(p.awaitReplies(t, 3))); diff != "" {
+			c.end(p)
+			if diff := cmp.Diff(c.want, outcomes(p.awaitReplies(3))); diff != "" {
 				t.Error(diff)
 			}
 		})
@@ -96,7 +96,7 @@
 		},
 	}).start(t, anvilpeer.Handlers{})
 	p.send(callNumber(1), callNumber(2))
-	p.awaitSubmitted(t, 2)
+	p.awaitSubmitted(2)
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
@@ -114,7 +114,7 @@
 	close(release)
 	<-drained
 	submitted, _ := p.seen()
-	got := outcomes(p.awaitReplies(t, number))
+	got := outcomes(p.awaitReplies(number))
 	want := map[string]int{
 		"ok run":         len(submitted),
 		"broken not-run": number - len(submitted),
@@ -135,7 +135,7 @@
 		"broken not-run": 1,
 		"ok run":         1,
 	}
-	if diff := cmp.Diff(want, outcomes(p.awaitReplies(t, 2))); diff != "" {
+	if diff := cmp.Diff(want, outcomes(p.awaitReplies(2))); diff != "" {
 		t.Error(diff)
 	}
 	if submitted, _ := p.seen(); len(submitted) != 1 || submitted[0].ID.Attempt != 2 {
@@ -184,7 +184,7 @@
 		}
 	}
 	p.client.Flush()
-	replies := p.awaitReplies(t, count)
+	replies := p.awaitReplies(count)
 	submitted, _ := p.seen()
 	for n := range count {
 		if submitted[n].ID.Attempt != n || replies[n].ID.Attempt != n {
@@ -215,7 +215,7 @@
 		"broken not-run": 1,
 		"ok run":         41,
 	}
-	if diff := cmp.Diff(want, outcomes(p.awaitReplies(t, 42))); diff != "" {
+	if diff := cmp.Diff(want, outcomes(p.awaitReplies(42))); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -239,7 +239,7 @@
 		"timeout not-run": 1,
 		"ok run":          1,
 	}
-	if diff := cmp.Diff(want, outcomes(p.awaitReplies(t, 2))); diff != "" {
+	if diff := cmp.Diff(want, outcomes(p.awaitReplies(2))); diff != "" {
 		t.Error(diff)
 	}
 	submitted, _ := p.seen()
@@ -278,7 +278,7 @@
 	silent.send(callNumber(1))
 	eventually(t, "silence", func() bool { return silent.client.Silence() > time.Second })
 	silent.client.Reset()
-	if diff := cmp.Diff(map[string]int{"broken unknown": 1}, outcomes(silent.awaitReplies(t, 1))); diff != "" {
+	if diff := cmp.Diff(map[string]int{"broken unknown": 1}, outcomes(silent.awaitReplies(1))); diff != "" {
 		t.Error(diff)
 	}
 	if s := silent.client.Silence(); s != 0 {
--- a/anvilpeer/relayserver.go
+++ b/anvilpeer/relayserver.go
@@ -44,19 +44,35 @@
 	s.streams.Add(1)
 	defer s.streams.Add(-1)
 	o := newRelayOutbox()
-	received := make(chan error, 1)
+	select {
+	case <-s.draining:
+		// Drain may have found no stream, so that nothing may be taken from this one.
+		o.refuse()
+	default:
+	}
+	in := &reading{
+		over: make(chan struct{}),
+	}
 	s.readers.Add(1)
 	go func() {
 		defer s.readers.Done()
-		received <- s.receive(stream, o)
+		defer close(in.over)
+		in.err = s.receive(stream, o)
 	}()
-	err := s.transmit(stream, o, received)
+	err := s.transmit(stream, o, in)
 	for _, id := range o.close() {
 		s.handlers.Cancel(id)
 	}
 	return err
 }
 
+// reading is the receiving half of a stream.
+type reading struct {
+	over chan struct{}
+	// err may be read once over is closed.
+	err error
+}
+
 // receive submits calls until the stream ends.
 func (s *Server) receive(stream anvilproto.DRPCPeer_RelayStream, o *relayOutbox) error {
 	reply := o.add
@@ -94,7 +110,7 @@
 // transmit sends replies until the stream breaks or is drained. It returns nil
 // only for a drained stream: drpc then ends it in a way that the other side takes
 // for not-run.
-func (s *Server) transmit(stream anvilproto.DRPCPeer_RelayStream, o *relayOutbox, received <-chan error) error {
+func (s *Server) transmit(stream anvilproto.DRPCPeer_RelayStream, o *relayOutbox, in *reading) error {
 	beat := time.NewTimer(heartbeat)
 	defer beat.Stop()
 	draining := s.draining
@@ -108,11 +124,11 @@
 			continue
 		}
 		if draining == nil && open == 0 {
-			return finish(stream, received)
+			return finish(stream, in)
 		}
 		select {
-		case err := <-received:
-			return err
+		case <-in.over:
+			return in.err
 		case <-draining:
 			draining = nil
 			o.refuse()
@@ -131,14 +147,14 @@
 
 // finish ends a drained stream. It waits for the other side to close it, because
 // closing a connection with unread bytes would discard the end of the stream.
-func finish(stream anvilproto.DRPCPeer_RelayStream, received <-chan error) error {
+func finish(stream anvilproto.DRPCPeer_RelayStream, in *reading) error {
 	if err := stream.CloseSend(); err != nil {
 		return err
 	}
 	linger := time.NewTimer(drainLinger)
 	defer linger.Stop()
 	select {
-	case <-received:
+	case <-in.over:
 	case <-linger.C:
 	}
 	return nil
--- a/anvilserver/decode.go
+++ b/anvilserver/decode.go
@@ -12,9 +12,13 @@
 	"anvilbridge/anvilwire"
 )
 
-// shortBody is the length of a body, in bytes, up to which the caller's word for
-// it is taken.
-const shortBody = 64 << 10
+const (
+	// shortBody is the length of a body, in bytes, up to which the caller's word
+	// for it is taken.
+	shortBody = 64 << 10
+	// discardedBytes bounds what is read of the body of a refused query.
+	discardedBytes = 1 << 20
+)
 
 // queryRequest is the request type of the query endpoint.
 type queryRequest struct {
@@ -25,22 +29,21 @@
 }
 
 // decodeQuery reads a query. The headers come first: without a timeout there is
-// no telling how long the body may take.
-func decodeQuery(r *http.Request, c *http.ResponseController, limit int) queryRequest {
+// no telling how long the body may take. The body is bounded by the caller.
+func decodeQuery(r *http.Request, c *http.ResponseController) queryRequest {
 	q := queryRequest{
 		arrived: time.Now(),
 	}
 	q.query, q.refusal = anvilwire.DecodeQuery(r.Header, nil)
 	if q.refusal != nil {
 		q.query.ID = q.refusal.RequestID
-		// What is left of the body is read after the refusal, but not for long. A
-		// connection without deadlines is one of a test.
-		_ = c.SetReadDeadline(q.arrived.Add(refusedBodyTimeout))
+		discardBody(r, c)
 		return q
 	}
 	timeout := q.query.Timeout
+	// A connection without deadlines is one of a test.
 	_ = c.SetReadDeadline(q.arrived.Add(min(timeout, bodyTimeout)))
-	q.query.Body, q.refusal = readBody(r, limit, timeout)
+	q.query.Body, q.refusal = readBody(r, timeout)
 	if q.refusal != nil {
 		q.refusal.RequestID = q.query.ID
 		return q
@@ -55,42 +58,47 @@
 	return q
 }
 
-// readBody reads at most limit bytes. A request whose body cannot be read has not
-// been run.
-func readBody(r *http.Request, limit int, timeout time.Duration) ([]byte, *anvilmodel.Refusal) {
+// discardBody reads what a caller goes on sending, within limits. Closing the
+// connection before could make the caller lose the refusal.
+func discardBody(r *http.Request, c *http.ResponseController) {
+	_ = c.SetReadDeadline(time.Now().Add(refusedBodyTimeout))
+	// The refusal is sent in any case.
+	_, _ = io.CopyN(io.Discard, r.Body, discardedBytes)
+}
+
+// readBody reads the body. A request whose body cannot be read has not been run.
+func readBody(r *http.Request, timeout time.Duration) ([]byte, *anvilmodel.Refusal) {
+	body, err := readAll(r)
+	if err == nil {
+		return body, nil
+	}
 	refusal := &anvilmodel.Refusal{
-		Reason:   anvilmodel.ReasonBodyTooLarge,
+		Reason:   anvilmodel.ReasonBadRequest,
 		Ran:      anvilmodel.RunStateNotRun,
-		Detail:   fmt.Sprintf("the body has more than %d bytes", limit),
-		Accepted: fmt.Sprintf("a body of at most %d bytes", limit),
-	}
-	if r.ContentLength > int64(limit) {
-		return nil, refusal
+		Detail:   "reading the body: " + err.Error(),
+		Accepted: "a whole body",
 	}
-	body, err := readAll(r, limit)
+	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.As(err, &tooLarge):
+		refusal.Reason = anvilmodel.ReasonBodyTooLarge
+		refusal.Detail = fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit)
+		refusal.Accepted = fmt.Sprintf("a body of at most %d bytes", tooLarge.Limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, lateBody("", timeout)
-	case err != nil:
-		refusal.Reason = anvilmodel.ReasonBadRequest
-		refusal.Detail = "reading the body: " + err.Error()
-		refusal.Accepted = "a whole body"
-		return nil, refusal
-	case len(body) > limit:
-		return nil, refusal
+		refusal = lateBody("", timeout)
 	}
-	return body, nil
+	return nil, refusal
 }
 
 // readAll reads a short body of known length into a slice of that length. Memory
 // for a long one is taken as it arrives.
-func readAll(r *http.Request, limit int) ([]byte, error) {
+func readAll(r *http.Request) ([]byte, error) {
 	if r.ContentLength >= 0 && r.ContentLength <= shortBody {
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
 		return body, err
 	}
-	return io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	return io.ReadAll(r.Body)
 }
 
 func lateBody(id anvilmodel.RequestID, timeout time.Duration) *anvilmodel.Refusal {
--- a/anvilserver/handler.go
+++ b/anvilserver/handler.go
@@ -21,7 +21,7 @@
 func queryHandler(e endpoint.Endpoint, maxBodyBytes func() int) http.Handler {
 	decode := func(ctx context.Context, r *http.Request) (any, error) {
 		controller, _ := ctx.Value(controllerKey{}).(*http.ResponseController)
-		return decodeQuery(r, controller, maxBodyBytes()), nil
+		return decodeQuery(r, controller), nil
 	}
 	encode := func(_ context.Context, w http.ResponseWriter, response any) error {
 		answer := response.(*anvilmodel.Answer)
@@ -36,6 +36,7 @@
 	server := httptransport.NewServer(e, decode, encode, httptransport.ServerErrorEncoder(encodeRefusal))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		controller := http.NewResponseController(w)
+		r.Body = http.MaxBytesReader(w, r.Body, int64(maxBodyBytes()))
 		server.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), controllerKey{}, controller)))
 	})
 }
