--- a/anvilnode/leafstates.go
+++ b/anvilnode/leafstates.go
@@ -181,7 +181,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-n.exchange:
+	case <-n.askAgain:
 	case <-n.background.Done():
 	}
 }
--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -80,8 +80,8 @@
 	retired map[*leafRunner]struct{}
 	// applications counts the revisions put into force.
 	applications atomic.Uint64
-	// exchange asks for the leaf states of the other nodes at once.
-	exchange chan struct{}
+	// askAgain asks for the leaf states of the other nodes at once.
+	askAgain chan struct{}
 
 	relayLock sync.Mutex
 	relays    map[netip.AddrPort]*anvilpeer.RelayClient
@@ -145,7 +145,7 @@
 		runners:    make(map[anvilmodel.LeafName]*leafRunner),
 		relays:     make(map[netip.AddrPort]*anvilpeer.RelayClient),
 		retired:    make(map[*leafRunner]struct{}),
-		exchange:   make(chan struct{}, 1),
+		askAgain:   make(chan struct{}, 1),
 		routes:     make(map[anvilmodel.CallID]callRoute),
 		states:     newStateStore(),
 		admission:  newAdmission(c.MaxQueries),
--- a/anvilnode/runners.go
+++ b/anvilnode/runners.go
@@ -47,7 +47,7 @@
 	}
 	n.applications.Add(1)
 	select {
-	case n.exchange <- struct{}{}:
+	case n.askAgain <- struct{}{}:
 	default:
 	}
 }
