--- /dev/null
+++ b/anvilnode/fleet_test.go
@@ -0,0 +1,192 @@
+package anvilnode_test
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilstandin"
+	"anvilbridge/anvilwire"
+)
+
+// TestFleet runs the tests that can share one fleet of four nodes. Each leaves the
+// fleet whole.
+func TestFleet(t *testing.T) {
+	f := newFleet(t, 4, 4, nil)
+	f.awaitWhole(f.nodes...)
+	for _, c := range []struct {
+		name string
+		test func(*fleet)
+	}{
+		{name: "whole answers", test: testWholeAnswers},
+		{name: "lost shard", test: testLostShard},
+		{name: "bad input", test: testBadInput},
+		{name: "ticket", test: testTicket},
+		{name: "ticket refused early", test: testTicketRefusedEarly},
+		{name: "ticket of a caller that left", test: testDisconnectedTicket},
+		{name: "snapshots", test: testSnapshots},
+		{name: "draining leaf", test: testDrainingLeaf},
+		{name: "silent leaf connections", test: testSilentLeaf},
+		{name: "silent streams between nodes", test: testSilentStreams},
+		{name: "failure domain out", test: testDomainOut},
+		{name: "changed dispatchers", test: testChangedDispatchers},
+	} {
+		ok := t.Run(c.name, func(t *testing.T) {
+			f.tb = t
+			c.test(f)
+			f.awaitWhole(f.nodes...)
+		})
+		f.tb = t
+		if !ok {
+			return
+		}
+	}
+}
+
+// testWholeAnswers guards against answers that lack parts, belong to another
+// request, or mix snapshots, when queries of all services run at the same time
+// through all nodes, and some callers leave in the middle of theirs.
+func testWholeAnswers(f *fleet) {
+	t := f.tb
+	var senders sync.WaitGroup
+	for i, m := range f.nodes {
+		senders.Add(1)
+		go func() {
+			defer senders.Done()
+			for n := range 20 {
+				body := fmt.Sprintf("body %d-%d", i, n)
+				hasty, leave := context.WithTimeout(context.Background(), time.Duration(n)*time.Millisecond/2)
+				f.sendContext(hasty, m, query{service: lots, class: "broad", body: "hasty " + body})
+				leave()
+				key := fmt.Sprintf("key-%d", n)
+				for _, q := range []query{
+					{service: lots, class: "broad", body: body},
+					{service: lots, class: "urgent", body: body},
+					{service: lots, class: "broad", body: body, key: key},
+					{service: archive, class: "patient", body: body},
+				} {
+					want := 1
+					if q.service == lots && q.key == "" {
+						want = lotShards
+					}
+					r := f.send(m, q)
+					if r.answer == nil {
+						t.Errorf("no answer: %+v", r)
+						continue
+					}
+					c := r.answer.Coverage
+					if c.Total != want || q.class != "urgent" && c.Covered != want || r.answer.Snapshot != 1 {
+						t.Errorf("coverage %+v of snapshot %d, want %d of 1", c, r.answer.Snapshot, want)
+					}
+				}
+			}
+		}()
+	}
+	senders.Wait()
+}
+
+// testLostShard guards against coverage that does not say which shard is missing,
+// and against a shard that stays lost after its leafs are back.
+func testLostShard(f *fleet) {
+	t := f.tb
+	lost := []*anvilstandin.Upstream{f.cluster.Upstream("lots-3-0"), f.cluster.Upstream("lots-3-1")}
+	for _, u := range lost {
+		u.Stop()
+	}
+	for _, m := range f.nodes {
+		r := f.send(m, query{service: lots, class: "broad"})
+		if r.answer == nil {
+			t.Fatalf("%+v", r)
+		}
+		if c := r.answer.Coverage; c.Covered != lotShards-1 || len(c.Missing) != 1 || c.Missing[0] != 3 {
+			t.Errorf("coverage %+v, want all but shard 3", c)
+		}
+	}
+	for _, u := range lost {
+		if err := u.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// testBadInput guards against requests that are refused without saying what was
+// wrong and what would be accepted, are run all the same, or end the process.
+func testBadInput(f *fleet) {
+	t, m := f.tb, f.nodes[1]
+	refused := func(q query, status int, reason anvilmodel.Reason, detail, accepted string) {
+		t.Helper()
+		q.service, q.class = cmp.Or(q.service, lots), cmp.Or(q.class, "broad")
+		r := f.send(m, q)
+		if r.refusal == nil || r.status != status || r.refusal.Reason != reason || r.refusal.Ran != anvilmodel.RunStateNotRun ||
+			!strings.Contains(r.refusal.Detail, detail) || !strings.Contains(r.refusal.Accepted, accepted) {
+			t.Errorf("status %d, %+v, error %v; want %d %s not-run with %q, accepted %q", r.status, r.refusal, r.err, status, reason, detail, accepted)
+		}
+	}
+	header := func(name, value string) query {
+		return query{change: func(r *http.Request) { r.Header[name] = []string{value} }}
+	}
+	target := func(method, path string) query {
+		return query{change: func(r *http.Request) { r.Method, r.URL.Path = method, path }}
+	}
+	large := strings.Repeat("b", 65537)
+	refused(query{service: "rags"}, 404, anvilmodel.ReasonUnknownService, `"rags"`, "archive, certify, lots")
+	refused(query{class: "slow"}, 404, anvilmodel.ReasonUnknownClass, `"slow"`, "broad, urgent")
+	refused(query{class: "patient"}, 404, anvilmodel.ReasonUnknownClass, `"patient"`, "broad, urgent")
+	refused(header(anvilwire.HeaderService, ""), 400, anvilmodel.ReasonBadRequest, anvilwire.HeaderService, anvilwire.HeaderService)
+	refused(query{service: "a b"}, 400, anvilmodel.ReasonBadRequest, anvilwire.HeaderService, "A-Z")
+	refused(header(anvilwire.HeaderRequestID, ""), 400, anvilmodel.ReasonBadRequest, anvilwire.HeaderRequestID, anvilwire.HeaderRequestID)
+	refused(query{key: strings.Repeat("k", 129)}, 400, anvilmodel.ReasonBadRequest, anvilwire.HeaderKey, "128 bytes")
+	refused(header(anvilwire.HeaderTimeout, ""), 400, anvilmodel.ReasonBadTimeout, anvilwire.HeaderTimeout, "250ms")
+	refused(query{timeout: -time.Second}, 400, anvilmodel.ReasonBadTimeout, anvilwire.HeaderTimeout, "250ms")
+	refused(query{timeout: 1000000 * time.Hour}, 400, anvilmodel.ReasonBadTimeout, "longer than class", "at most 4s")
+	refused(header(anvilwire.HeaderTimeout, "99999999999999h"), 400, anvilmodel.ReasonBadTimeout, anvilwire.HeaderTimeout, "250ms")
+	refused(query{body: large}, 413, anvilmodel.ReasonBodyTooLarge, "65536", "65536")
+	refused(query{body: large, change: func(r *http.Request) { r.ContentLength = -1 }}, 413, anvilmodel.ReasonBodyTooLarge, "65536", "65536")
+	refused(query{service: certify, class: "once", key: "k"}, 409, anvilmodel.ReasonBadTicket, "once", anvilwire.HeaderTicket)
+	refused(header(anvilwire.HeaderTicket, "1.2.3"), 409, anvilmodel.ReasonBadTicket, anvilwire.HeaderTicket, "32 hex digits")
+	refused(query{ticket: m.ticket(1)}, 409, anvilmodel.ReasonBadTicket, "broad", "no "+anvilwire.HeaderTicket)
+	refused(query{service: certify, class: "once", ticket: m.ticket(2)}, 400, anvilmodel.ReasonBadRequest, "one shard", "routing key")
+	refused(target("PUT", anvilwire.PathQuery), 405, anvilmodel.ReasonBadRequest, "PUT", "POST "+anvilwire.PathQuery)
+	refused(target("POST", "/v2/query"), 404, anvilmodel.ReasonBadRequest, "/v2/query", "POST "+anvilwire.PathQuery)
+	for path, want := range map[string]int{"/healthz": 200, "/readyz": 200, "/metrics": 200, "/v1/status": 200, "/v1/outcome?ticket=x": 409, "/v1/addresses?failure-domain=a+b": 400} {
+		if status, body := f.get(m, path); status != want {
+			t.Errorf("%s: status %d, want %d: %s", path, status, want, body)
+		}
+	}
+	if names := f.named(m); len(names) != 4 {
+		t.Errorf("%v are named, want 4 nodes", names)
+	}
+}
+
+// testSnapshots guards against answers that mix snapshots, or count coverage
+// against another snapshot's shards, while snapshots with other shard counts are
+// published and dropped during load.
+func testSnapshots(f *fleet) {
+	t := f.tb
+	counts := map[anvilmodel.Snapshot]int{1: lotShards, 2: 10, 3: 40, 4: lotShards}
+	l := f.startLoad(6, 0)
+	l.await(20)
+	for next := anvilmodel.Snapshot(2); next <= 4; next++ {
+		if err := f.cluster.Publish(lots, next, counts[next]); err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range f.nodes {
+			eventually(t, fmt.Sprintf("answer from snapshot %d", next), func() bool {
+				r := f.send(m, query{service: lots, class: "broad"})
+				if r.answer != nil && r.answer.Coverage.Total != counts[r.answer.Snapshot] {
+					t.Errorf("coverage %+v of snapshot %d", r.answer.Coverage, r.answer.Snapshot)
+				}
+				return r.answer != nil && r.answer.Snapshot == next && len(r.answer.Coverage.Missing) == 0
+			})
+		}
+		f.cluster.DropSnapshot(lots, next-1)
+		l.await(50)
+	}
+	l.stop()
+}
--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -87,6 +87,8 @@
 	retired map[*leafRunner]struct{}
 	// applications counts the revisions put into force.
 	applications atomic.Uint64
+	// askAgain asks for the leaf states of the other nodes at once.
+	askAgain chan struct{}
 
 	relayLock sync.Mutex
 	relays    map[netip.AddrPort]*anvilpeer.RelayClient
@@ -150,6 +152,7 @@
 		runners:    make(map[anvilmodel.LeafName]*leafRunner),
 		relays:     make(map[netip.AddrPort]*anvilpeer.RelayClient),
 		retired:    make(map[*leafRunner]struct{}),
+		askAgain:   make(chan struct{}, 1),
 		routes:     make(map[anvilmodel.CallID]callRoute),
 		states:     newStateStore(),
 		admission:  newAdmission(c.MaxQueries),
