--- a/anvilmember/handle.go
+++ b/anvilmember/handle.go
@@ -66,20 +66,21 @@
 	if relayed < 0 && round == nil {
 		return
 	}
+	var behalf relay
+	if relayed >= 0 {
+		behalf = m.relays[relayed]
+		m.relays = slices.Delete(m.relays, relayed, relayed+1)
+	}
 	m.heardAt = m.at
 	m.replied = true
 	m.mergeSender(r.From, a)
 	m.mergeNews(r.News, a)
 	m.noteJoinReply(r.From.Member.Name)
-	if m.superseded {
-		// The reply said so, and with that the exchanges ended.
-		return
-	}
 	switch {
 	case relayed >= 0:
-		x := m.relays[relayed]
-		m.relays = slices.Delete(m.relays, relayed, relayed+1)
-		m.answerRelay(x, m.answered(x.target, r.From.Member, a), a)
+		m.answerRelay(behalf, m.answered(behalf.target, r.From.Member, a), a)
+	case round.done:
+		// The reply said that this process is superseded, and its exchanges ended.
 	case asked >= 0:
 		m.helperReplied(round, asked, r.Reached, a)
 	case m.answered(round.target, r.From.Member, a):
