--- a/anvilcapacity/assignment.go
+++ b/anvilcapacity/assignment.go
@@ -144,7 +144,7 @@
 
 // firstRegion returns the replica of a shard that is in the first region.
 func firstRegion(shard int) int {
-	return shard % designDomains / (designDomains / 2)
+	return regionOf(shard)
 }
 
 func mostPrimaries(t *anvilassign.Table, c anvilassign.Config) int {
--- a/anvilcapacity/deployment.go
+++ b/anvilcapacity/deployment.go
@@ -26,6 +26,11 @@
 	return anvilmodel.FailureDomain(fmt.Sprintf("fd-%d", i%designDomains+1))
 }
 
+// regionOf returns the region of the failure domain that domainName names.
+func regionOf(i int) int {
+	return i % designDomains / (designDomains / 2)
+}
+
 func slotName(i int) anvilmodel.SlotName {
 	return anvilmodel.SlotName(fmt.Sprintf("entry-%03d", i))
 }
@@ -100,7 +105,7 @@
 	var b strings.Builder
 	b.WriteString("sites: [north, south]\nfailure-domains:\n")
 	for i := range designDomains {
-		fmt.Fprintf(&b, "  %s: {region: region-%d}\n", domainName(i), i/2+1)
+		fmt.Fprintf(&b, "  %s: {region: region-%d}\n", domainName(i), regionOf(i)+1)
 	}
 	b.WriteString("entry-slots:\n")
 	for i := range slots {
--- a/anvilcapacity/memberfleet.go
+++ b/anvilcapacity/memberfleet.go
@@ -25,6 +25,8 @@
 	byAddress map[netip.AddrPort]*memberNode
 	random    *rand.Rand
 	counts    memberCounts
+	// apart cuts the two regions off from each other.
+	apart bool
 	// recording also asks for the view of the members after each event, as the
 	// node does for its query path.
 	recording bool
@@ -44,6 +46,7 @@
 	fleet  *memberFleet
 	core   *anvilmember.Membership
 	listed anvilmodel.ListedVM
+	region int
 	down   bool
 	// waiting holds the probes of others that wait for an answer.
 	waiting map[uint64]func(anvilmember.Answer)
@@ -61,6 +64,7 @@
 		n := &memberNode{
 			fleet:   f,
 			listed:  v,
+			region:  regionOf(i),
 			waiting: make(map[uint64]func(anvilmember.Answer)),
 		}
 		n.core = anvilmember.New(anvilmember.Config{
@@ -164,7 +168,7 @@
 		m.HandleFailure(p.ID, now, a)
 	}
 	to := f.byAddress[p.Address]
-	if to == nil || to.down {
+	if to == nil || to.down || f.apart && to.region != n.region {
 		f.after(p.Timeout, func() { n.call(fail) })
 		return
 	}
--- a/anvilcapacity/membership.go
+++ b/anvilcapacity/membership.go
@@ -16,8 +16,6 @@
 	memberWindow = 4 * time.Second
 	// memberDeath bounds the wait until a lost node counts as dead everywhere.
 	memberDeath = 60 * time.Second
-	// deathCheck is the time between two looks at all nodes during that wait.
-	deathCheck = 50 * time.Millisecond
 )
 
 // measureMembership runs fleets of membership cores.
@@ -38,7 +36,8 @@
 		results[i].memory = (before - liveHeap()) / float64(sizes[i])
 	}
 	slopes := memberSlopes(sizes, results)
-	return append(slopes, measureMemberIndex(sizes, results[len(results)-1].views)), nil
+	slopes = append(slopes, measureMemberIndex(sizes, results[len(results)-1].views))
+	return append(slopes, measureSplit(seed)...), nil
 }
 
 // warmFleets starts fleets and lets each get to know itself. They run next to
@@ -99,14 +98,8 @@
 	f.counts = memberCounts{}
 	lost := f.nodes[i]
 	lost.down = true
-	began, checked := f.now, f.now
-	f.runUntil(began+memberDeath, func() bool {
-		if f.now-checked < deathCheck {
-			return false
-		}
-		checked = f.now
-		return f.agreeDead(lost, slotName(i))
-	})
+	began := f.now
+	f.runUntil(began+memberDeath, f.everySo(func() bool { return f.agreeDead(lost, slotName(i)) }))
 	return f.now - began
 }
 
