Ask the next candidate when a dispatching node is lost

Cause: calls whose relay stream broke went back to the query as broken. Only a retry at another leaf could replace them, within the retry budget, and the leaf was blamed for the loss of the node. A node that was ended at once also answered its relayed calls as broken before the stream ended, which looks like a lost leaf. Change: the relay client tells lost calls apart; the origin sends them to the next candidate of the leaf with the time that is left, unless they were cancelled, or may have run and must not run twice. A node that ends at once leaves its relayed calls to the end of the stream.

--- a/anvilbench/baseline.go
+++ b/anvilbench/baseline.go
@@ -34,6 +34,7 @@
 		Name:        "policy",
 		HedgeBudget: anvilquery.DefaultHedgeBudget,
 		RetryBudget: anvilquery.DefaultRetryBudget,
+		Failover:    FailoverBreak,
 	}
 }
 
--- a/anvilbench/decision.go
+++ b/anvilbench/decision.go
@@ -121,11 +121,11 @@
 }
 
 func failovers() []Variant {
-	broken := named("next candidate on a break", Policy())
-	broken.Failover = FailoverBreak
-	timed := named("and after 50ms of silence", Policy())
+	none := named("no failover", Policy())
+	none.Failover = FailoverNone
+	timed := named("also after 50ms of silence", Policy())
 	timed.Failover = FailoverTimeout
-	return []Variant{Policy(), broken, timed}
+	return []Variant{Policy(), none, timed}
 }
 
 func reserve(name string, reserve time.Duration) Variant {
--- a/anvilbench/relay.go
+++ b/anvilbench/relay.go
@@ -13,10 +13,10 @@
 // Kinds of failover.
 const (
 	// FailoverNone answers calls on a broken stream as broken and goes on sending
-	// to the node until membership suspects it, as anvilnode does.
+	// to the node until membership suspects it.
 	FailoverNone Failover = iota
 	// FailoverBreak avoids a node whose stream broke, and sends its outstanding
-	// calls to the next candidate.
+	// calls to the next candidate, as anvilnode does.
 	FailoverBreak
 	// FailoverTimeout does the same when a node has answered nothing on a stream
 	// for relayTimeout while calls were waiting.
--- a/anvilmetric/definition.go
+++ b/anvilmetric/definition.go
@@ -77,7 +77,7 @@
 	RelayedCalls = Definition{
 		Name:   "relayed_calls_total",
 		Kind:   KindCounter,
-		Help:   "Leaf calls handed to or taken from other nodes.",
+		Help:   "Leaf calls sent to other nodes, received from them, or failed-over to the next candidate of their leaf.",
 		Labels: []string{"direction"},
 	}
 	RepliesDropped = Definition{
--- a/anvilnode/route.go
+++ b/anvilnode/route.go
@@ -2,35 +2,55 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
 )
 
-// callRoute remembers where a call of this origin went, for its cancellation.
+// callRoute remembers where a call of this origin went, for its cancellation and
+// for asking the next candidate when the node there is lost.
 type callRoute struct {
 	runner     *leafRunner
 	relay      *anvilpeer.RelayClient
 	dispatcher anvilmodel.Incarnation
+	// call, sent and rank are set for calls sent to another node.
+	call anvilmodel.Call
+	sent time.Time
+	rank int
+	// cancelled calls are not sent to another candidate.
+	cancelled bool
 }
 
 // dispatch hands a call to the first usable candidate of its leaf: to a
 // dispatcher of this node, or to another node. It returns the relay that has to be
-// flushed, if any. A candidate whose stream is silent is used only if there is no
-// other: its calls would be lost until the stream is replaced.
+// flushed, if any.
 func (n *Node) dispatch(v *view, call anvilmodel.Call) *anvilpeer.RelayClient {
+	relay, ok := n.dispatchFrom(v, call, 0)
+	if !ok {
+		n.handleReply(notRun(call))
+	}
+	return relay
+}
+
+// dispatchFrom is dispatch without the candidates below a rank. It reports false
+// if there is no usable one. A candidate whose stream is silent is used only if
+// there is no other: its calls would be lost until the stream is replaced.
+func (n *Node) dispatchFrom(v *view, call anvilmodel.Call, rank int) (*anvilpeer.RelayClient, bool) {
 	members := n.memberView.Load()
-	var silent *anvilpeer.RelayClient
-	var silentMember anvilmodel.Incarnation
+	var silent *callRoute
 	for _, candidate := range v.table.Candidates(call.Leaf) {
+		if candidate.Rank < rank {
+			continue
+		}
 		if candidate.Slot == n.config.Slot {
 			if r := n.runner(call.Leaf); r != nil {
 				n.remember(call.ID, callRoute{
 					runner: r,
 				})
 				r.submit(call, n.deliver)
-				return nil
+				return nil, true
 			}
 			continue
 		}
@@ -39,29 +59,63 @@
 			continue
 		}
 		relay := n.relay(m.PeerAddress)
-		switch {
-		case relay == nil:
-		case relay.Silence() < relaySuspicion:
-			return n.sendOver(relay, m.Incarnation, call)
-		case silent == nil:
-			silent, silentMember = relay, m.Incarnation
+		if relay == nil {
+			continue
+		}
+		route := callRoute{
+			relay:      relay,
+			dispatcher: m.Incarnation,
+			call:       call,
+			rank:       candidate.Rank,
+		}
+		if relay.Silence() < relaySuspicion {
+			return n.sendOver(route), true
+		}
+		if silent == nil {
+			silent = &route
 		}
 	}
 	if silent != nil {
-		return n.sendOver(silent, silentMember, call)
+		return n.sendOver(*silent), true
 	}
-	n.handleReply(notRun(call))
-	return nil
+	return nil, false
 }
 
-func (n *Node) sendOver(relay *anvilpeer.RelayClient, dispatcher anvilmodel.Incarnation, call anvilmodel.Call) *anvilpeer.RelayClient {
-	n.remember(call.ID, callRoute{
-		relay:      relay,
-		dispatcher: dispatcher,
-	})
+func (n *Node) sendOver(route callRoute) *anvilpeer.RelayClient {
+	route.sent = time.Now()
+	n.remember(route.call.ID, route)
 	n.metrics.Add(anvilmetric.RelayedCalls, 1, "sent")
-	relay.Enqueue(dispatcher, call)
-	return relay
+	route.relay.Enqueue(route.dispatcher, route.call)
+	return route.relay
+}
+
+// callLost takes the end of a call whose node was lost with it. The next candidate
+// is asked, unless the call may have run and must not run twice.
+func (n *Node) callLost(reply anvilmodel.CallReply) {
+	n.relayLock.Lock()
+	route, ok := n.routes[reply.ID]
+	delete(n.routes, reply.ID)
+	n.relayLock.Unlock()
+	repeatable := !route.call.NonIdempotent || reply.Ran == anvilmodel.RunStateNotRun
+	if !ok || route.cancelled || !repeatable {
+		n.handleReply(reply)
+		return
+	}
+	call := route.call
+	call.Timeout -= time.Since(route.sent)
+	if call.Timeout <= 0 {
+		n.handleReply(reply)
+		return
+	}
+	relay, ok := n.dispatchFrom(n.view.Load(), call, route.rank+1)
+	if !ok {
+		n.handleReply(reply)
+		return
+	}
+	n.metrics.Add(anvilmetric.RelayedCalls, 1, "failed-over")
+	if relay != nil {
+		relay.Flush()
+	}
 }
 
 // notRun returns the reply to a call that no dispatcher has taken.
@@ -76,7 +130,11 @@
 
 func (n *Node) cancelCall(id anvilmodel.CallID) {
 	n.relayLock.Lock()
-	route := n.routes[id]
+	route, ok := n.routes[id]
+	if ok {
+		route.cancelled = true
+		n.routes[id] = route
+	}
 	n.relayLock.Unlock()
 	switch {
 	case route.runner != nil:
@@ -107,6 +165,7 @@
 		r = anvilpeer.NewRelayClient(anvilpeer.RelayConfig{
 			Address: address,
 			Deliver: n.deliver,
+			Lost:    n.callLost,
 			Dial:    n.config.DialPeer,
 		})
 		n.relays[address] = r
@@ -168,6 +227,11 @@
 	})
 	r.submit(call, func(answer anvilmodel.CallReply) {
 		n.forget(call.ID)
+		if n.background.Err() != nil {
+			// The node ends without waiting. The end of the stream tells the
+			// origin that the dispatcher is lost, and not the leaf.
+			return
+		}
 		reply(answer)
 	})
 }
--- a/anvilpeer/relay.go
+++ b/anvilpeer/relay.go
@@ -34,6 +34,9 @@
 	// Deliver receives every reply, also those for calls that broke. It must
 	// not block.
 	Deliver func(anvilmodel.CallReply)
+	// Lost receives in place of Deliver the replies to calls whose stream ended,
+	// so that another node can be asked; nil means Deliver. It must not block.
+	Lost func(anvilmodel.CallReply)
 	// Dial opens a connection; nil means TCP.
 	Dial DialFunc
 }
@@ -44,6 +47,7 @@
 type RelayClient struct {
 	address netip.AddrPort
 	deliver func(anvilmodel.CallReply)
+	lost    func(anvilmodel.CallReply)
 	dial    DialFunc
 	// links counts the goroutines of all streams.
 	links sync.WaitGroup
@@ -62,9 +66,14 @@
 	if dial == nil {
 		dial = dialTCP
 	}
+	lost := c.Lost
+	if lost == nil {
+		lost = c.Deliver
+	}
 	return &RelayClient{
 		address: c.Address,
 		deliver: c.Deliver,
+		lost:    lost,
 		dial:    dial,
 	}
 }
@@ -276,7 +285,7 @@
 		if !entry.sent || e == endingDrained {
 			ran = anvilmodel.RunStateNotRun
 		}
-		r.deliver(brokenReply(id, entry.leaf, ran))
+		r.lost(brokenReply(id, entry.leaf, ran))
 	}
 }
 
