--- a/anvilmember/core_test.go
+++ b/anvilmember/core_test.go
@@ -1,6 +1,8 @@
 package anvilmember_test
 
 import (
+	"fmt"
+	"log"
 	"testing"
 	"time"
 
@@ -95,10 +97,26 @@
 // Guards against messages with more items than allowed when many members leave.
 func TestItemLimit(t *testing.T) {
 	p := fleet(t.Fatalf, seed, 4)
-	for i := range 60 {
-		k := p.hear(p.processes[0], item(10+i, anvilmodel.MemberLeaving))
-		if n := len(k.Reply.News); n > anvilmember.DefaultNewsItems {
+	for k := range 120 {
+		status := anvilmodel.MemberAlive
+		if k >= 60 {
+			status = anvilmodel.MemberLeaving
+		}
+		n := len(p.hear(p.processes[0], item(10+k%60, status)).Reply.News)
+		if n > anvilmember.DefaultNewsItems {
 			t.Fatalf("%d items", n)
 		}
 	}
 }
+
+// Two nodes learn of each other: the owner carries the messages.
+func ExampleMembership() {
+	p := newPump(log.Fatalf, seed)
+	p.publish(member(0))
+	p.publish(member(1))
+	a, b := p.start(member(0), 0), p.start(member(1), 0)
+	p.run(2 * time.Second)
+	e, _ := a.BySlot("s001")
+	fmt.Println(e.Name, e.Status, e.Incarnation == b.Self().Incarnation)
+	// Output: vm-001 alive true
+}
--- a/anvilmember/fleet_test.go
+++ b/anvilmember/fleet_test.go
@@ -54,12 +54,13 @@
 	p.do(y, func(a *anvilmember.Actions) {
 		y.UpdateSelf(anvilmember.SelfState{Serving: true, Leaving: true}, p.now, a)
 	})
-	b.ReportMetric(p.until(y, anvilmodel.MemberLeaving), "s-to-leaving")
+	leaving := p.until(y, anvilmodel.MemberLeaving)
 	p.stop(x)
 	gone := p.until(x, anvilmodel.MemberDead)
-	if gone > 20 {
-		b.Errorf("%d members: a dead one is used for %.1f s", n, gone)
+	if leaving > 4 || gone > 12 {
+		b.Errorf("%d members: a leaving one is used for %.1f s, a dead one for %.1f s", n, leaving, gone)
 	}
+	b.ReportMetric(leaving, "s-to-leaving")
 	b.ReportMetric(gone, "s-to-dead")
 }
 
