--- a/anvilmember/core_test.go
+++ b/anvilmember/core_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// Guards against a death in which one of two witnesses is this node's predecessor,
-// and against older states that take the place of later ones.
+// Guards against a death in which one of two witnesses is this node's predecessor or
+// one is named twice, and against older states that take the place of later ones.
 func TestNews(t *testing.T) {
 	p := fleet(t.Fatalf, seed, 4)
 	dead := item(1, anvilmodel.MemberDead)
@@ -87,6 +87,12 @@
 	early.Version, early.Member.Load = 998, 0.1
 	p.hear(p.processes[0], item(3, anvilmodel.MemberAlive), dead, late)
 	p.hear(p.processes[0], item(3, anvilmodel.MemberAlive), early)
+	twice := item(9, anvilmodel.MemberDead)
+	twice.Witnesses = []anvilmodel.VMName{member(2).Name, member(2).Name}
+	p.hear(p.processes[0], item(3, anvilmodel.MemberAlive), twice)
+	if e, _ := p.processes[0].BySlot(member(9).Slot); e.Status != anvilmodel.MemberUnheard {
+		t.Errorf("%+v", e)
+	}
 	suspect, _ := p.processes[0].BySlot(member(1).Slot)
 	loaded, _ := p.processes[0].BySlot(member(2).Slot)
 	if suspect.Status != anvilmodel.MemberSuspect || loaded.Load != 0.9 {
--- a/anvilmember/merge.go
+++ b/anvilmember/merge.go
@@ -115,11 +115,14 @@
 func (m *Membership) mergeFirst(r *record, i Item, a *Actions) {
 	switch i.Member.Status {
 	case anvilmodel.MemberDead:
-		if witnesses := m.withoutSelf(i.Witnesses); len(witnesses) >= deathWitnesses {
-			r.witnesses = witnesses
+		for _, w := range m.withoutSelf(i.Witnesses) {
+			r.addWitness(w)
+		}
+		if len(r.witnesses) >= deathWitnesses && m.replied {
 			m.bury(r, "news", a)
 			return
 		}
+		r.witnesses = nil
 		fallthrough
 	case anvilmodel.MemberUnheard:
 		// Not enough for a judgement, nor a reason to use it: it has to answer first.
