--- a/anvilmember/core_test.go
+++ b/anvilmember/core_test.go
@@ -1,6 +1,8 @@
 package anvilmember_test
 
 import (
+	"fmt"
+	"log"
 	"testing"
 	"time"
 
@@ -74,8 +76,8 @@
 	}
 }
 
-// Guards against a death in which one of two witnesses is this node's predecessor,
-// and against older states that take the place of later ones.
+// Guards against a death in which one of two witnesses is this node's predecessor or
+// one is named twice, and against older states that take the place of later ones.
 func TestNews(t *testing.T) {
 	p := fleet(t.Fatalf, seed, 4)
 	dead := item(1, anvilmodel.MemberDead)
@@ -85,6 +87,12 @@
 	early.Version, early.Member.Load = 998, 0.1
 	p.hear(p.processes[0], item(3, anvilmodel.MemberAlive), dead, late)
 	p.hear(p.processes[0], item(3, anvilmodel.MemberAlive), early)
+	twice := item(9, anvilmodel.MemberDead)
+	twice.Witnesses = []anvilmodel.VMName{member(2).Name, member(2).Name}
+	p.hear(p.processes[0], item(3, anvilmodel.MemberAlive), twice)
+	if e, _ := p.processes[0].BySlot(member(9).Slot); e.Status != anvilmodel.MemberUnheard {
+		t.Errorf("%+v", e)
+	}
 	suspect, _ := p.processes[0].BySlot(member(1).Slot)
 	loaded, _ := p.processes[0].BySlot(member(2).Slot)
 	if suspect.Status != anvilmodel.MemberSuspect || loaded.Load != 0.9 {
@@ -95,10 +103,26 @@
 // Guards against messages with more items than allowed when many members leave.
 func TestItemLimit(t *testing.T) {
 	p := fleet(t.Fatalf, seed, 4)
-	for i := range 60 {
-		k := p.hear(p.processes[0], item(10+i, anvilmodel.MemberLeaving))
-		if n := len(k.Reply.News); n > anvilmember.DefaultNewsItems {
+	for k := range 120 {
+		status := anvilmodel.MemberAlive
+		if k >= 60 {
+			status = anvilmodel.MemberLeaving
+		}
+		n := len(p.hear(p.processes[0], item(10+k%60, status)).Reply.News)
+		if n > anvilmember.DefaultNewsItems {
 			t.Fatalf("%d items", n)
 		}
 	}
 }
+
+// Two nodes learn of each other: the owner carries the messages.
+func ExampleMembership() {
+	p := newPump(log.Fatalf, seed)
+	p.publish(member(0))
+	p.publish(member(1))
+	a, b := p.start(member(0), 0), p.start(member(1), 0)
+	p.run(2 * time.Second)
+	e, _ := a.BySlot("s001")
+	fmt.Println(e.Name, e.Status, e.Incarnation == b.Self().Incarnation)
+	// Output: vm-001 alive true
+}
