--- a/anvilnode/network_test.go
+++ b/anvilnode/network_test.go
@@ -1,6 +1,7 @@
 package anvilnode_test
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -57,6 +58,8 @@
 	stalled   chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
+	// relay is set once the connection has carried the beginning of a relay stream.
+	relay atomic.Bool
 }
 
 func isClosed(c <-chan struct{}) bool {
@@ -81,6 +84,9 @@
 	if isClosed(c.stalled) {
 		return len(p), nil
 	}
+	if bytes.Contains(p, []byte("/Relay")) {
+		c.relay.Store(true)
+	}
 	c.network.writes.Add(1)
 	c.network.bytes.Add(int64(len(p)))
 	return c.Conn.Write(p)
