Test that a manifest with a false digest is not put into force

Cause: a mutation trial on a scratch copy that dropped the comparison of a fetched revision's digest passed all tests. Conclusion: content can only be in force under its own digest.

--- a/anvilrevision/fetch_test.go
+++ b/anvilrevision/fetch_test.go
@@ -93,6 +93,24 @@
 	}
 }
 
+// Guards against content that is put into force under a digest that is not its
+// own: two nodes would then hold different content of one revision.
+func TestManifestWithAFalseDigest(t *testing.T) {
+	f := running(t, 23, 0)
+	f.publish(2, "changed")
+	f.offer(f.vms[0])
+	f.tamper = func(_ *vm, m *anvilrevision.Manifest, _ [][]byte) time.Duration {
+		if m != nil {
+			m.Revision.Digest[0] ^= 1
+		}
+		return 0
+	}
+	f.run(time.Minute)
+	if got := f.vms[1].InForce().Version; got != 1 {
+		t.Errorf("version %d in force, want 1", got)
+	}
+}
+
 // Guards against chunks that are too large or too many.
 func TestSplit(t *testing.T) {
 	for _, content := range []string{
