Let address answers follow the load of failure domains

Cause: the address core can send callers elsewhere when the nodes of their own failure domain are busy, but the node did not hand it the shares it needs, so that the caller's own domain always went first.

--- a/anvilnode/handlers.go
+++ b/anvilnode/handlers.go
@@ -99,7 +99,10 @@
 		input.OutDomains = v.out
 		input.Lifetime = v.settings.Policy.AddressLifetime
 	}
+	n.addressLock.Lock()
+	input.Shares = n.shares
 	chosen := anviladdress.Choose(input)
+	n.addressLock.Unlock()
 	answer := anvilwire.AddressAnswer{
 		Lifetime: chosen.Lifetime,
 	}
--- a/anvilnode/housekeeping.go
+++ b/anvilnode/housekeeping.go
@@ -33,6 +33,7 @@
 		if v := n.view.Load(); v != nil {
 			n.outFor(v)
 		}
+		n.updateShares()
 		n.setGauges()
 		select {
 		case <-n.background.Done():
@@ -42,6 +43,19 @@
 	}
 }
 
+// updateShares lets the address answers send fewer callers to the nodes of their
+// own failure domain while these are busy.
+func (n *Node) updateShares() {
+	members := n.memberView.Load().all
+	var out []anvilmodel.FailureDomain
+	if v := n.view.Load(); v != nil {
+		out = v.out
+	}
+	n.addressLock.Lock()
+	defer n.addressLock.Unlock()
+	n.shares.Update(members, out, time.Now())
+}
+
 func (n *Node) setGauges() {
 	counts := make(map[anvilmodel.MemberStatus]int)
 	for _, m := range n.memberView.Load().all {
--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
+	"anvilbridge/anviladdress"
 	"anvilbridge/anvilaudit"
 	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmetric"
@@ -94,6 +95,10 @@
 	relays    map[netip.AddrPort]*anvilpeer.RelayClient
 	routes    map[anvilmodel.CallID]callRoute
 
+	// addressLock guards shares.
+	addressLock sync.Mutex
+	shares      *anviladdress.Shares
+
 	states    *stateStore
 	admission *admission
 
@@ -154,6 +159,7 @@
 		retired:    make(map[*leafRunner]struct{}),
 		askAgain:   make(chan struct{}, 1),
 		routes:     make(map[anvilmodel.CallID]callRoute),
+		shares:     anviladdress.NewShares(),
 		states:     newStateStore(),
 		admission:  newAdmission(c.MaxQueries),
 		announced:  make(chan struct{}),
