Let the hedge quantile of the configuration take effect

Cause: found in the read-through: policy.hedge-quantile was checked, rendered and documented, but the query core always used the 95th percentile. Change: Origin.SetHedgeQuantile, set with every revision; TestHedgeQuantile.

--- a/anvilnode/view.go
+++ b/anvilnode/view.go
@@ -154,6 +154,7 @@
 		leafs = append(leafs, service.Leafs...)
 	}
 	n.origin.SetLeafs(leafs)
+	n.origin.SetHedgeQuantile(v.settings.Policy.HedgeQuantile)
 	n.origin.SetBudgets(v.settings.Policy.HedgeBudget, v.settings.Policy.RetryBudget)
 	for _, leaf := range leafs {
 		n.origin.SetUsable(leaf.Name, !v.isOut(leaf.FailureDomain))
--- a/anvilquery/config.go
+++ b/anvilquery/config.go
@@ -9,6 +9,7 @@
 
 // Defaults of Config.
 const (
+	DefaultHedgeQuantile = 0.95
 	DefaultHedgeBudget   = 0.05
 	DefaultHedgeBurst    = 10
 	DefaultRetryBudget   = 0.10
@@ -27,6 +28,9 @@
 	// Random is the source of all random choices. When nil, a source seeded with
 	// the incarnation is used.
 	Random *rand.Rand
+	// HedgeQuantile is the quantile of the learned latency, from 0 to 1, after
+	// which a call is late.
+	HedgeQuantile float64
 	// HedgeBudget is the number of hedges that one primary call earns, from 0 to 1.
 	HedgeBudget float64
 	// HedgeBurst is the most hedges that a service can save up.
@@ -52,6 +56,7 @@
 	if c.Random == nil {
 		c.Random = rand.New(rand.NewPCG(uint64(c.Incarnation), 0))
 	}
+	c.HedgeQuantile = defaulted(c.HedgeQuantile, DefaultHedgeQuantile)
 	c.HedgeBudget = defaulted(c.HedgeBudget, DefaultHedgeBudget)
 	c.HedgeBurst = defaulted(c.HedgeBurst, DefaultHedgeBurst)
 	c.RetryBudget = defaulted(c.RetryBudget, DefaultRetryBudget)
--- a/anvilquery/failure_test.go
+++ b/anvilquery/failure_test.go
@@ -180,6 +180,23 @@
 	}
 }
 
+// TestHedgeQuantile guards against a hedge quantile of the configuration that has
+// no effect.
+func TestHedgeQuantile(t *testing.T) {
+	for quantile, most := range map[float64]time.Duration{0.85: 3 * ms, 0.95: 11 * ms} {
+		f := grid(t, 1, 2)
+		f.origin.SetBudgets(0, 0)
+		f.origin.SetHedgeQuantile(quantile)
+		for range 40 {
+			f.warm(9, 2*ms)
+			f.warm(1, 10*ms)
+		}
+		if delay := f.broad().Next().Sub(f.now); delay > most || delay < most-2*ms {
+			t.Errorf("hedge delay is %v at quantile %g with a tenth of the calls at 10 ms", delay, quantile)
+		}
+	}
+}
+
 // TestHedgeStorm guards against extra load when all leafs are slow at once, and
 // against a hedge delay that grows with the slowness until hedges are useless.
 func TestHedgeStorm(t *testing.T) {
--- a/anvilquery/latency.go
+++ b/anvilquery/latency.go
@@ -34,7 +34,6 @@
 	fastPercentile   = 5
 	medianPercentile = 50
 	likelyPercentile = 75
-	tailPercentile   = 95
 )
 
 // estimate holds the latencies of the last one to two windows. Both histograms
@@ -77,6 +76,8 @@
 // latency is what is learned of the call latencies of one service.
 type latency struct {
 	window time.Duration
+	// tailPercent is the percentile that the tail stands for.
+	tailPercent float64
 	// replied holds the latencies of good replies. Lost calls are left out, so
 	// that a time of many timeouts does not pass for the fast latency.
 	replied estimate
@@ -94,11 +95,12 @@
 	tail   time.Duration
 }
 
-func newLatency(window time.Duration) latency {
+func newLatency(window time.Duration, hedgeQuantile float64) latency {
 	return latency{
-		window:  window,
-		replied: newEstimate(),
-		all:     newEstimate(),
+		window:      window,
+		tailPercent: 100 * hedgeQuantile,
+		replied:     newEstimate(),
+		all:         newEstimate(),
 	}
 }
 
@@ -138,7 +140,7 @@
 		l.likely = l.replied.percentile(likelyPercentile)
 	}
 	if l.all.known() {
-		l.tail = l.all.percentile(tailPercentile)
+		l.tail = l.all.percentile(l.tailPercent)
 	}
 }
 
--- a/anvilquery/origin.go
+++ b/anvilquery/origin.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// SetHedgeQuantile replaces the hedge quantile of Config, for a new revision. It
+// takes effect when the percentiles are refreshed next, within 100 ms of use.
+func (o *Origin) SetHedgeQuantile(quantile float64) {
+	o.config.HedgeQuantile = defaulted(quantile, DefaultHedgeQuantile)
+	for _, s := range o.services {
+		s.latency.tailPercent = 100 * o.config.HedgeQuantile
+	}
+}
+
 // SetUsable says whether new calls may go to a leaf. Leafs are usable until told
 // otherwise. Use it for leafs that are leaving, taken out, or judged broken.
 // Names that SetLeafs did not give are ignored.
--- a/anvilquery/service.go
+++ b/anvilquery/service.go
@@ -38,7 +38,7 @@
 			burst:  c.RetryBurst,
 			tokens: c.RetryBurst,
 		},
-		latency: newLatency(c.LatencyWindow),
+		latency: newLatency(c.LatencyWindow, c.HedgeQuantile),
 		trialAt: unstated,
 		probeAt: noProbe,
 	}
