--- a/anvilrevision/chunk.go
+++ b/anvilrevision/chunk.go
@@ -22,7 +22,8 @@
 // Limits of what a node takes over from a peer, and so of the memory that one
 // fetch can hold: 16 documents of 1 MB.
 const (
-	// MaxDocuments is the largest number of documents of a revision.
+	// MaxDocuments is the largest number of documents of a revision. The client
+	// of the configuration service has the same limit.
 	MaxDocuments = 16
 	// maxNameBytes is the length of the longest document name.
 	maxNameBytes = 255
--- a/anvilrevision/pump_test.go
+++ b/anvilrevision/pump_test.go
@@ -188,6 +188,13 @@
 	f.version, f.documents = version, text(content)
 }
 
+// change publishes and waits until the change is in force everywhere.
+func (f *fleet) change(version uint64, content string) {
+	f.t.Helper()
+	f.publish(version, content)
+	f.settles(version)
+}
+
 func (f *fleet) offer(v *vm) {
 	f.do(v, v.Offer(f.version, f.documents, f.now, f.now))
 }
--- a/anvilrevision/task.go
+++ b/anvilrevision/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 
 	"anvilbridge/anvilconfig"
@@ -62,26 +61,11 @@
 		return result
 	}
 	result.content = newContent(result.revision, documents)
-	result.judgement = t.verdict(documents)
+	result.judgement = t.judge(documents)
 	result.judged = true
 	return result
 }
 
-func (t *Task) verdict(documents []anvilconfig.Document) Judgement {
-	if len(documents) <= MaxDocuments {
-		return t.judge(documents)
-	}
-	return Judgement{
-		Findings: anvilconfig.Findings{{
-			Document: documents[MaxDocuments].Name,
-			Line:     1,
-			Column:   1,
-			Message:  fmt.Sprintf("there are %d documents", len(documents)),
-			Accepted: fmt.Sprintf("at most %d documents", MaxDocuments),
-		}},
-	}
-}
-
 // collect returns the documents in order of name.
 func (t *Task) collect() ([]anvilconfig.Document, bool) {
 	if t.source.Peer == "" {
