Resolve the merge of the revision tests

Change: both tests, of false digests and of bounded fetches, stand. Conclusion: the tree is whole again.

--- a/anvilrevision/fetch_test.go
+++ b/anvilrevision/fetch_test.go
@@ -95,7 +95,6 @@
 	}
 }
 
-<<<<<<< HEAD
 // Guards against content that is put into force under a digest that is not its
 // own: two nodes would then hold different content of one revision.
 func TestManifestWithAFalseDigest(t *testing.T) {
@@ -111,7 +110,9 @@
 	f.run(time.Minute)
 	if got := f.vms[1].InForce().Version; got != 1 {
 		t.Errorf("version %d in force, want 1", got)
-=======
+	}
+}
+
 // Guards against a transfer that holds more than the documents can be: two of
 // 10 MB in chunks of 16 KB, of which 2 MB are asked for at a time and 18 in all.
 func TestFetchIsBounded(t *testing.T) {
@@ -129,7 +130,6 @@
 	events := f.vms[1].events
 	if manifests, chunks := events[anvilrevision.ActionFetchManifest], events[anvilrevision.ActionFetchChunks]; manifests == 0 || chunks > 9*manifests {
 		t.Errorf("asked %d times for a manifest, %d times for chunks", manifests, chunks)
->>>>>>> revision
 	}
 }
 
