Count the cost of a relay round in the data path

The slope of the relay holds the cost of a call only. The intercept, the cost of a batch and its replies, is paid 28.7 times for each query.

--- a/anvilcapacity/design.go
+++ b/anvilcapacity/design.go
@@ -35,6 +35,9 @@
 	nodeDispatchers = 3 * float64(designLeafs) / designNodes
 	// nodePrimaries is the leafs that a node is the first candidate for.
 	nodePrimaries = float64(designLeafs) / designNodes
+	// nodeBatches is the batches of calls that a node sends in a second, at 28.7
+	// dispatching nodes for each query (assignment-nodes-per-query).
+	nodeBatches   = nodeQueries * 28.7
 	changesPerSec = float64(designChanges) / secondsPerDay
 )
 
--- a/anvilcapacity/relay.go
+++ b/anvilcapacity/relay.go
@@ -103,11 +103,17 @@
 		SizeName: "calls in the round",
 		Sizes:    floats(sizes),
 		Targets: []Target{{
-			What:   "calls relayed and taken in a second, without the cost of a round",
+			What:   "calls relayed and taken in a second",
 			Size:   nodeCalls,
 			Rate:   true,
 			Unit:   "cores",
 			Budget: BudgetDataCPU,
+		}, {
+			What:   "cost of the rounds, 28.7 for each query",
+			Size:   0,
+			Factor: nodeBatches,
+			Unit:   "cores",
+			Budget: BudgetDataCPU,
 		}},
 	}
 	writes := Slope{
