--- a/anvilnode/handlers.go
+++ b/anvilnode/handlers.go
@@ -50,6 +50,7 @@
 func (n *Node) serverConfig() anvilserver.Config {
 	return anvilserver.Config{
 		Query:        n.answerQuery,
+		Admit:        n.admitQuery,
 		Refuse:       n.refuseTicket,
 		Outcome:      n.outcome,
 		Addresses:    n.addresses,
--- a/anvilnode/query.go
+++ b/anvilnode/query.go
@@ -34,10 +34,25 @@
 	close(n.announced)
 }
 
-// answerQuery answers a caller's query.
+// admitQuery returns why a query is refused, or nil. An admitted query is handed
+// to answerQuery, which ends its admission.
+func (n *Node) admitQuery(q anvilwire.Query) *anvilmodel.Refusal {
+	_, request, refusal := n.prepare(q)
+	if refusal == nil {
+		refusal = n.admission.enter(q.ID, request.Class.Mode)
+	}
+	if refusal != nil {
+		return n.refuseTicket(q.Ticket, refusal)
+	}
+	return nil
+}
+
+// answerQuery answers an admitted query. It runs under the revision in force now,
+// which may be a later one than at its admission.
 func (n *Node) answerQuery(ctx context.Context, q anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal) {
-	v, request, refusal := n.admit(q)
+	v, request, refusal := n.prepare(q)
 	if refusal != nil {
+		n.admission.leave()
 		return nil, n.refuseTicket(q.Ticket, refusal)
 	}
 	if request.Class.NonIdempotent {
@@ -47,17 +62,14 @@
 	return n.runQuery(ctx, v, request)
 }
 
-// admit returns the request of a query and the view that it runs under, or why
-// the node refuses it. An admitted query has to leave the admission.
-func (n *Node) admit(q anvilwire.Query) (*view, anvilmodel.Request, *anvilmodel.Refusal) {
+// prepare returns the request of a query and the view that it runs under, or why
+// the node refuses it.
+func (n *Node) prepare(q anvilwire.Query) (*view, anvilmodel.Request, *anvilmodel.Refusal) {
 	v, refusal := n.serving(q.ID)
 	if refusal != nil {
 		return nil, anvilmodel.Request{}, refusal
 	}
 	request, refusal := validate(v, q)
-	if refusal == nil {
-		refusal = n.admission.enter(q.ID, request.Class.Mode)
-	}
 	return v, request, refusal
 }
 
--- a/anvilserver/endpoint.go
+++ b/anvilserver/endpoint.go
@@ -86,6 +86,26 @@
 	}
 }
 
+// limitQueries refuses queries that the node does not admit. A query that could
+// not be decoded is refused by the endpoint and takes no room.
+func limitQueries(admit func(anvilwire.Query) *anvilmodel.Refusal) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		if admit == nil {
+			return next
+		}
+		return func(ctx context.Context, request any) (any, error) {
+			q := request.(queryRequest)
+			if q.refusal != nil {
+				return next(ctx, request)
+			}
+			if refusal := admit(q.query); refusal != nil {
+				return nil, refusal
+			}
+			return next(ctx, request)
+		}
+	}
+}
+
 // recoverQueries turns a panic into a refusal whose run state is unknown, so
 // that one bad query does not end the process.
 func recoverQueries(log zerolog.Logger) endpoint.Middleware {
--- a/anvilserver/server.go
+++ b/anvilserver/server.go
@@ -39,6 +39,9 @@
 type Config struct {
 	// Query answers a decoded query. Exactly one result is not nil.
 	Query func(context.Context, anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal)
+	// Admit returns why a query is not admitted, or nil. Query is called for every
+	// admitted query and ends its admission. Nil admits all.
+	Admit func(anvilwire.Query) *anvilmodel.Refusal
 	// Refuse corrects the refusal of a query that cannot be handed to Query. The
 	// ticket is the absent one if the query has no readable ticket.
 	Refuse func(anvilmodel.Ticket, *anvilmodel.Refusal) *anvilmodel.Refusal
@@ -178,6 +181,7 @@
 		observeQueries(c.Observe),
 		logQueries(c.Log),
 		recoverQueries(c.Log),
+		limitQueries(c.Admit),
 	)(queryEndpoint(c))
 	mux := http.NewServeMux()
 	mux.Handle("POST "+anvilwire.PathQuery, queryHandler(query, c.MaxBodyBytes))
--- a/anvilserver/server_test.go
+++ b/anvilserver/server_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -315,3 +316,45 @@
 		t.Errorf("%+v, want an answer and the connection closed", r)
 	}
 }
+
+// TestLimit guards against queries that pass although the node does not admit
+// them, and against queries that cannot be decoded and take up room.
+func TestLimit(t *testing.T) {
+	admitted, queried := 0, 0
+	server := anvilserver.New(anvilserver.Config{
+		Query: func(_ context.Context, q anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+			queried++
+			return &anvilmodel.Answer{RequestID: q.ID}, nil
+		},
+		Admit: func(q anvilwire.Query) *anvilmodel.Refusal {
+			admitted++
+			if admitted == 1 {
+				return nil
+			}
+			return &anvilmodel.Refusal{RequestID: q.ID, Reason: anvilmodel.ReasonOverload, Ran: anvilmodel.RunStateNotRun}
+		},
+		Refuse:       func(_ anvilmodel.Ticket, r *anvilmodel.Refusal) *anvilmodel.Refusal { return r },
+		MaxBodyBytes: func() int { return 1 << 10 },
+		Observe:      func(anvilserver.QueryResult) {},
+		Metrics:      http.NotFoundHandler(),
+		Leaving:      func() bool { return false },
+		Log:          zerolog.Nop(),
+	})
+	var handler http.Handler
+	server.Use(func(h http.Handler) http.Handler {
+		handler = h
+		return h
+	})
+	statuses := []int{}
+	for _, timeout := range []time.Duration{time.Second, -time.Second, time.Second} {
+		q := anvilwire.Query{ID: "r", Service: "s", Class: "c", Timeout: timeout}
+		r := httptest.NewRequest(http.MethodPost, anvilwire.PathQuery, http.NoBody)
+		r.Header = q.Header()
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		statuses = append(statuses, w.Code)
+	}
+	if diff := cmp.Diff([]int{http.StatusOK, http.StatusBadRequest, anvilwire.Status(anvilmodel.ReasonOverload)}, statuses); diff != "" || admitted != 2 || queried != 1 {
+		t.Errorf("admitted %d, queried %d, statuses (-want +got):\n%s", admitted, queried, diff)
+	}
+}
