Check what mutations of the node runtime left unnoticed

Cause: of 40 mutations, the tests missed relays and requests that outlive a node, a missing grace time of a shutdown, a relay client whose Close does not wait, and a faulty stream that looks drained to the other side.

Change: the tests look for open connections and unfinished requests at the end of a node, query a leaving node, and end a stream by a malformed batch. The line that removed the deadline of a body is gone, because net/http does it.

--- a/anvilnode/lifecycle_test.go
+++ b/anvilnode/lifecycle_test.go
@@ -31,6 +31,9 @@
 	l := f.startLoad(8, 3)
 	l.await(100)
 	f.kill(killed)
+	if n := f.network.openBy(killed); n > 0 {
+		t.Errorf("the node left %d connections open", n)
+	}
 	l.await(300)
 	f.awaitWhole(others...)
 	l.stop()
@@ -66,6 +69,12 @@
 		for range 2 {
 			go func() { cut <- m.Shutdown(context.Background(), "test") }()
 		}
+		// Callers may hold its address for as long as the answer says, and 1 s more.
+		eventually(t, "leaving", func() bool { return m.Status().Leaving })
+		begun := time.Now()
+		if r := f.send(m, query{service: lots, class: "broad"}); r.answer == nil && time.Since(begun) < 2*time.Second {
+			t.Errorf("refused in the time that callers may hold the address: %+v", r)
+		}
 		l.await(100)
 		for range 2 {
 			if n := <-cut; n != 0 {
@@ -105,6 +114,9 @@
 		t.Error("nothing was cut off")
 	}
 	<-m.ended
+	if lines := m.log.lines(`"class":"patient","outcome":"deadline"`); len(lines) != 1 {
+		t.Errorf("the node ended before its queries: %v", lines)
+	}
 	if r := <-sent; r.answer != nil {
 		t.Errorf("%+v, want a broken connection", r)
 	}
--- a/anvilnode/main_test.go
+++ b/anvilnode/main_test.go
@@ -234,7 +234,7 @@
 		PollInterval:   100 * time.Millisecond,
 		Seed:           uint64(len(f.nodes)),
 		Log:            zerolog.New(m.log),
-		DialPeer:       f.network.dial,
+		DialPeer:       f.network.dialer(m),
 	}
 	if f.change != nil {
 		f.change(&config)
--- a/anvilnode/network_test.go
+++ b/anvilnode/network_test.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+
+	"anvilbridge/anvilpeer"
 )
 
 // stallNetwork dials connections between nodes that can be made to deliver nothing
@@ -19,7 +21,14 @@
 	writes, bytes atomic.Int64
 }
 
-func (s *stallNetwork) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+// dialer returns the dial function of one node.
+func (s *stallNetwork) dialer(m *testNode) anvilpeer.DialFunc {
+	return func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		return s.dial(ctx, m, address)
+	}
+}
+
+func (s *stallNetwork) dial(ctx context.Context, m *testNode, address netip.AddrPort) (net.Conn, error) {
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, err
@@ -27,6 +36,7 @@
 	c := &stallConn{
 		Conn:    raw,
 		network: s,
+		owner:   m,
 		stalled: make(chan struct{}),
 		closed:  make(chan struct{}),
 	}
@@ -52,9 +62,23 @@
 	return conns
 }
 
+// openBy counts the connections that a node holds.
+func (s *stallNetwork) openBy(m *testNode) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for c := range s.open {
+		if c.owner == m {
+			count++
+		}
+	}
+	return count
+}
+
 type stallConn struct {
 	net.Conn
 	network   *stallNetwork
+	owner     *testNode
 	stalled   chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
--- a/anvilpeer/relay_test.go
+++ b/anvilpeer/relay_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
 
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
@@ -46,7 +49,13 @@
 	end("closed while connecting", "broken not-run", func(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
-	}, func(p *peer) { p.client.Close() })
+	}, func(p *peer) {
+		p.client.Close()
+		if p.mu.Lock(); len(p.replies) != 3 {
+			p.tb.Errorf("closed with %d of 3 calls answered", len(p.replies))
+		}
+		p.mu.Unlock()
+	})
 	end("reset after sending", "broken unknown", nil, func(p *peer) {
 		p.awaitSubmitted(3)
 		p.client.Reset()
@@ -98,6 +107,34 @@
 	}
 }
 
+// badEncoding writes what is no protobuf message.
+type badEncoding struct{}
+
+func (badEncoding) Marshal(drpc.Message) ([]byte, error) { return []byte{0xff}, nil }
+func (badEncoding) Unmarshal([]byte, drpc.Message) error { return nil }
+
+// TestMalformedBatchIsNoDrain guards against a stream that ends for a fault as a
+// drained one does, from which the other side would conclude not-run.
+func TestMalformedBatchIsNoDrain(t *testing.T) {
+	p := (&peer{}).start(t, anvilpeer.Handlers{})
+	raw, err := net.Dial("tcp", p.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := drpcconn.New(raw)
+	defer conn.Close()
+	stream, err := conn.NewStream(t.Context(), "/anvilproto.Peer/Relay", badEncoding{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.MsgSend(nil, badEncoding{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := stream.MsgRecv(nil, badEncoding{}); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("the stream ended with %v", err)
+	}
+}
+
 // TestWrongIncarnationIsRefused guards against calls that a process runs although
 // they were meant for its predecessor at the same address.
 func TestWrongIncarnationIsRefused(t *testing.T) {
--- a/anvilserver/decode.go
+++ b/anvilserver/decode.go
@@ -41,15 +41,14 @@
 		return q
 	}
 	timeout := q.query.Timeout
-	// A connection without deadlines is one of a test.
+	// The HTTP server removes the deadline when it has read the whole body. It
+	// accepts deadlines on all its connections.
 	_ = c.SetReadDeadline(q.arrived.Add(min(timeout, bodyTimeout)))
 	q.query.Body, q.refusal = readBody(r, timeout)
 	if q.refusal != nil {
 		q.refusal.RequestID = q.query.ID
 		return q
 	}
-	// Else the end of the deadline would look like the end of the connection.
-	_ = c.SetReadDeadline(time.Time{})
 	// Reading the body may have used up a part of the caller's time.
 	q.query.Timeout -= time.Since(q.arrived)
 	if q.query.Timeout <= 0 {
--- a/anvilserver/server_test.go
+++ b/anvilserver/server_test.go
@@ -209,12 +209,13 @@
 	refused(headers(anvilwire.HeaderTimeout, "50ms")+unfinished, anvilmodel.ReasonDeadline, notRun, "request-1")
 	refused(headers(anvilwire.HeaderTimeout, "50ms", anvilwire.HeaderTicket, ticket)+unfinished, anvilmodel.ReasonDeadline, anvilmodel.RunStateUnknown, "request-1")
 	refused(headers(anvilwire.HeaderClass, "")+unfinished, anvilmodel.ReasonBadRequest, notRun, "request-1")
+	refused(withBody(headers(anvilwire.HeaderClass, "", "Connection", "close"), strings.Repeat("b", 900<<10)), anvilmodel.ReasonBadRequest, notRun, "request-1")
 	refused(withBody(headers(anvilwire.HeaderRequestID, "a b"), ""), anvilmodel.ReasonBadRequest, notRun, "")
 	refused(strings.Replace(withBody(headers(), ""), "POST", "PATCH", 1), anvilmodel.ReasonBadRequest, notRun, "request-1")
 	if r := n.connect().write(withBody(headers(), "body")).read(); r.answer == nil || string(r.answer.Parts[0].Body) != "body" {
 		t.Errorf("%+v", r)
 	}
-	want := []string{"body-too-large", "body-too-large", "deadline", "deadline", "bad-request", "bad-request", "answer"}
+	want := []string{"body-too-large", "body-too-large", "deadline", "deadline", "bad-request", "bad-request", "bad-request", "answer"}
 	if diff := cmp.Diff(want, n.observed); diff != "" {
 		t.Errorf("observed: %s", diff)
 	}
