Check that a second shutdown waits for the first

Cause: a mutation that let it return at once was not noticed. Change: the test looks for the last log line when a call returns. Conclusion: the mutation is caught.

--- a/anvilnode/lifecycle_test.go
+++ b/anvilnode/lifecycle_test.go
@@ -67,7 +67,13 @@
 	for _, m := range f.nodes[2:] {
 		cut := make(chan int, 2)
 		for range 2 {
-			go func() { cut <- m.Shutdown(context.Background(), "test") }()
+			go func() {
+				n := m.Shutdown(context.Background(), "test")
+				if len(m.log.lines("node-stopped")) == 0 {
+					t.Error("returned before the node had stopped")
+				}
+				cut <- n
+			}()
 		}
 		// Callers may hold its address for as long as the answer says, and 1 s more.
 		eventually(t, "leaving", func() bool { return m.Status().Leaving })
