Prepare a query once, and remove what nothing calls any more

Cause: read-through. A query was checked against the configuration twice, at its admission and before it ran, so that it could even run under another revision than it was admitted under. Two tests of anvilleaf change the share through Reconfigure, with the same assertions. Conclusion: behaviour is as it was, but for the one revision of a query.

--- a/anvilbench/result.go
+++ b/anvilbench/result.go
@@ -216,15 +216,6 @@
 	return ratio(float64(s.ShedCalls), s.Sent)
 }
 
-// RefusedShare returns the share of the queries that were refused.
-func (s *StreamResult) RefusedShare() float64 {
-	total := 0
-	for _, n := range s.Refused {
-		total += n
-	}
-	return ratio(float64(total), s.Offered-s.Lost)
-}
-
 func ratio(part float64, whole int) float64 {
 	if whole == 0 {
 		return 0
--- a/anvildemo/standin.go
+++ b/anvildemo/standin.go
@@ -31,8 +31,9 @@
 	if err != nil {
 		return nil, err
 	}
-	cluster.Config().SetDocument(anvilconfig.BaseName, []byte(baseFile(services(), cluster.Leafs(), failureDomains, slots)))
-	cluster.Config().SetDocument(overlayDocument, []byte(overlayText("")))
+	for _, d := range documents(cluster, slots) {
+		cluster.Config().SetDocument(d.Name, d.Content)
+	}
 	return cluster, nil
 }
 
@@ -103,10 +104,15 @@
 
 // Documents returns the published base file and overlay.
 func (s *StandIns) Documents() []anvilconfig.Document {
+	return documents(s.cluster, s.slots)
+}
+
+// documents returns the base file and the overlay for the leafs of a cluster.
+func documents(cluster *anvilstandin.Cluster, slots []slotText) []anvilconfig.Document {
 	return []anvilconfig.Document{
 		{
 			Name:    anvilconfig.BaseName,
-			Content: []byte(baseFile(services(), s.cluster.Leafs(), failureDomains, s.slots)),
+			Content: []byte(baseFile(services(), cluster.Leafs(), failureDomains, slots)),
 		},
 		{
 			Name:    overlayDocument,
--- a/anvilleaf/dispatcher_test.go
+++ b/anvilleaf/dispatcher_test.go
@@ -133,7 +133,8 @@
 		if r := n.last[waits]; r.Result != anvilmodel.CallOK {
 			t.Errorf("call that could wait: %+v", r)
 		}
-		n.do(n.d.SetShare(share(5, 2), n.sim.now, nil))
+		n.config.Share = share(5, 2)
+		n.do(n.d.Reconfigure(n.config, n.sim.now, nil))
 	}
 }
 
@@ -241,7 +242,8 @@
 	if s := n.status(); s.Suspect != 0 || s.Counters.Silent != 1 {
 		t.Errorf("after one connection went silent: %+v", s)
 	}
-	n.do(n.d.SetShare(share(3, 1), n.sim.now, nil))
+	n.config.Share = share(3, 1)
+	n.do(n.d.Reconfigure(n.config, n.sim.now, nil))
 	for range 2 {
 		n.silence()
 		n.send(2)
--- a/anvilleaf/gate.go
+++ b/anvilleaf/gate.go
@@ -43,17 +43,9 @@
 	return d.leave()
 }
 
-// SetShare changes this node's part of the leaf after an assignment change. A
-// greater cold share begins a quiet period, because calls of the slot that had
-// it may still be running.
-func (d *Dispatcher) SetShare(s Share, now time.Time, actions []Action) []Action {
-	d.enter(now, actions)
-	d.expire()
-	d.setShare(s)
-	return d.leave()
-}
-
-// Reconfigure replaces the settings, the share among them, and keeps the state.
+// Reconfigure replaces the settings, the share among them, and keeps the state. A
+// greater cold share begins a quiet period, because calls of the slot that had it
+// may still be running.
 func (d *Dispatcher) Reconfigure(c Config, now time.Time, actions []Action) []Action {
 	d.enter(now, actions)
 	d.expire()
--- a/anvilnode/handlers.go
+++ b/anvilnode/handlers.go
@@ -49,7 +49,6 @@
 // serverConfig joins the HTTP server to the node.
 func (n *Node) serverConfig() anvilserver.Config {
 	return anvilserver.Config{
-		Query:        n.answerQuery,
 		Admit:        n.admitQuery,
 		Refuse:       n.refuseTicket,
 		Outcome:      n.outcome,
--- a/anvilnode/platform.go
+++ b/anvilnode/platform.go
@@ -147,10 +147,5 @@
 
 // pause waits, or less when the node stops.
 func (n *Node) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-n.background.Done():
-	}
+	sleep(n.background, d)
 }
--- a/anvilnode/query.go
+++ b/anvilnode/query.go
@@ -7,6 +7,7 @@
 
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilquery"
+	"anvilbridge/anvilserver"
 	"anvilbridge/anvilwire"
 )
 
@@ -34,27 +35,23 @@
 	close(n.announced)
 }
 
-// admitQuery returns why a query is refused, or nil. An admitted query is handed
-// to answerQuery, which ends its admission.
-func (n *Node) admitQuery(q anvilwire.Query) *anvilmodel.Refusal {
-	_, request, refusal := n.prepare(q)
+// admitQuery returns how a query is answered, or why it is refused. The query runs
+// under the revision that it was admitted under.
+func (n *Node) admitQuery(q anvilwire.Query) (anvilserver.QueryFunc, *anvilmodel.Refusal) {
+	v, request, refusal := n.prepare(q)
 	if refusal == nil {
 		refusal = n.admission.enter(q.ID, request.Class.Mode)
 	}
 	if refusal != nil {
-		return n.refuseTicket(q.Ticket, refusal)
+		return nil, n.refuseTicket(q.Ticket, refusal)
 	}
-	return nil
+	return func(ctx context.Context) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+		return n.answerQuery(ctx, v, request)
+	}, nil
 }
 
-// answerQuery answers an admitted query. It runs under the revision in force now,
-// which may be a later one than at its admission.
-func (n *Node) answerQuery(ctx context.Context, q anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal) {
-	v, request, refusal := n.prepare(q)
-	if refusal != nil {
-		n.admission.leave()
-		return nil, n.refuseTicket(q.Ticket, refusal)
-	}
+// answerQuery answers an admitted query and ends its admission.
+func (n *Node) answerQuery(ctx context.Context, v *view, request anvilmodel.Request) (*anvilmodel.Answer, *anvilmodel.Refusal) {
 	if request.Class.NonIdempotent {
 		return n.runTicket(ctx, v, request)
 	}
--- a/anvilnode/revisions.go
+++ b/anvilnode/revisions.go
@@ -185,45 +185,37 @@
 }
 
 func (n *Node) fetchManifest(a anvilrevision.Action) {
-	ctx, cancel := context.WithTimeout(n.background, a.Timeout)
-	defer cancel()
-	address, ok := n.peerAddress(a.Peer)
-	if !ok {
-		n.fetchFailed(a.Peer)
-		return
-	}
-	manifest, err := n.peers.Manifest(ctx, address, a.Revision.Version)
-	if err != nil {
-		n.fetchFailed(a.Peer)
-		return
-	}
-	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+	var manifest anvilrevision.Manifest
+	n.fetch(a, func(ctx context.Context, address netip.AddrPort) (err error) {
+		manifest, err = n.peers.Manifest(ctx, address, a.Revision.Version)
+		return err
+	}, func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
 		return k.HandleManifest(a.Peer, manifest, now)
 	})
 }
 
 func (n *Node) fetchChunks(a anvilrevision.Action) {
-	ctx, cancel := context.WithTimeout(n.background, a.Timeout)
-	defer cancel()
-	address, ok := n.peerAddress(a.Peer)
-	if !ok {
-		n.fetchFailed(a.Peer)
-		return
-	}
-	chunks, err := n.peers.Chunks(ctx, address, a.Revision.Version, a.Chunks)
-	if err != nil {
-		n.fetchFailed(a.Peer)
-		return
-	}
-	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+	var chunks [][]byte
+	n.fetch(a, func(ctx context.Context, address netip.AddrPort) (err error) {
+		chunks, err = n.peers.Chunks(ctx, address, a.Revision.Version, a.Chunks)
+		return err
+	}, func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
 		return k.HandleChunks(a.Peer, a.Chunks, chunks, now)
 	})
 }
 
-func (n *Node) fetchFailed(peer anvilmodel.VMName) {
-	n.withKeeper(func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
-		return k.HandleFetchFailure(peer, now)
-	})
+// fetch asks the peer of an action, and tells the keeper of the reply or that
+// there was none.
+func (n *Node) fetch(a anvilrevision.Action, ask func(context.Context, netip.AddrPort) error, handle func(*anvilrevision.Keeper, time.Time) []anvilrevision.Action) {
+	ctx, cancel := context.WithTimeout(n.background, a.Timeout)
+	defer cancel()
+	address, ok := n.peerAddress(a.Peer)
+	if !ok || ask(ctx, address) != nil {
+		handle = func(k *anvilrevision.Keeper, now time.Time) []anvilrevision.Action {
+			return k.HandleFetchFailure(a.Peer, now)
+		}
+	}
+	n.withKeeper(handle)
 }
 
 // randomMembers returns up to count members that can be reached.
--- a/anvilserver/decode.go
+++ b/anvilserver/decode.go
@@ -26,6 +26,8 @@
 	arrived time.Time
 	// refusal is set when the query cannot be run as it is.
 	refusal *anvilmodel.Refusal
+	// run is set once the query is admitted.
+	run QueryFunc
 }
 
 // decodeQuery reads a query. The headers come first: without a timeout there is
--- a/anvilserver/endpoint.go
+++ b/anvilserver/endpoint.go
@@ -21,7 +21,7 @@
 		if q.refusal != nil {
 			return nil, c.Refuse(q.query.Ticket, q.refusal)
 		}
-		answer, refusal := c.Query(ctx, q.query)
+		answer, refusal := q.run(ctx)
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -88,20 +88,19 @@
 
 // limitQueries refuses queries that the node does not admit. A query that could
 // not be decoded is refused by the endpoint and takes no room.
-func limitQueries(admit func(anvilwire.Query) *anvilmodel.Refusal) endpoint.Middleware {
+func limitQueries(admit func(anvilwire.Query) (QueryFunc, *anvilmodel.Refusal)) endpoint.Middleware {
 	return func(next endpoint.Endpoint) endpoint.Endpoint {
-		if admit == nil {
-			return next
-		}
 		return func(ctx context.Context, request any) (any, error) {
 			q := request.(queryRequest)
 			if q.refusal != nil {
 				return next(ctx, request)
 			}
-			if refusal := admit(q.query); refusal != nil {
+			run, refusal := admit(q.query)
+			if refusal != nil {
 				return nil, refusal
 			}
-			return next(ctx, request)
+			q.run = run
+			return next(ctx, q)
 		}
 	}
 }
--- a/anvilserver/server.go
+++ b/anvilserver/server.go
@@ -35,14 +35,16 @@
 	drainPoll = 5 * time.Millisecond
 )
 
+// QueryFunc answers an admitted query and ends its admission. It is called once.
+// Exactly one result is not nil.
+type QueryFunc func(context.Context) (*anvilmodel.Answer, *anvilmodel.Refusal)
+
 // Config sets up a Server. All functions must be set and safe for concurrent use.
 type Config struct {
-	// Query answers a decoded query. Exactly one result is not nil.
-	Query func(context.Context, anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal)
-	// Admit returns why a query is not admitted, or nil. Query is called for every
-	// admitted query and ends its admission. Nil admits all.
-	Admit func(anvilwire.Query) *anvilmodel.Refusal
-	// Refuse corrects the refusal of a query that cannot be handed to Query. The
+	// Admit returns how a decoded query is answered, or why it is not admitted.
+	// Exactly one result is not nil.
+	Admit func(anvilwire.Query) (QueryFunc, *anvilmodel.Refusal)
+	// Refuse corrects the refusal of a query that cannot be handed to Admit. The
 	// ticket is the absent one if the query has no readable ticket.
 	Refuse func(anvilmodel.Ticket, *anvilmodel.Refusal) *anvilmodel.Refusal
 	// Outcome says what became of a ticket.
--- a/anvilserver/server_test.go
+++ b/anvilserver/server_test.go
@@ -66,7 +66,9 @@
 		}
 	}
 	n.Server = anvilserver.New(anvilserver.Config{
-		Query: n.query,
+		Admit: func(q anvilwire.Query) (anvilserver.QueryFunc, *anvilmodel.Refusal) {
+			return func(ctx context.Context) (*anvilmodel.Answer, *anvilmodel.Refusal) { return n.query(ctx, q) }, nil
+		},
 		Refuse: func(ticket anvilmodel.Ticket, r *anvilmodel.Refusal) *anvilmodel.Refusal {
 			if !ticket.IsZero() {
 				r.Ran = anvilmodel.RunStateUnknown
@@ -323,16 +325,15 @@
 func TestLimit(t *testing.T) {
 	admitted, queried := 0, 0
 	server := anvilserver.New(anvilserver.Config{
-		Query: func(_ context.Context, q anvilwire.Query) (*anvilmodel.Answer, *anvilmodel.Refusal) {
-			queried++
-			return &anvilmodel.Answer{RequestID: q.ID}, nil
-		},
-		Admit: func(q anvilwire.Query) *anvilmodel.Refusal {
+		Admit: func(q anvilwire.Query) (anvilserver.QueryFunc, *anvilmodel.Refusal) {
 			admitted++
 			if admitted == 1 {
-				return nil
+				return func(context.Context) (*anvilmodel.Answer, *anvilmodel.Refusal) {
+					queried++
+					return &anvilmodel.Answer{RequestID: q.ID}, nil
+				}, nil
 			}
-			return &anvilmodel.Refusal{RequestID: q.ID, Reason: anvilmodel.ReasonOverload, Ran: anvilmodel.RunStateNotRun}
+			return nil, &anvilmodel.Refusal{RequestID: q.ID, Reason: anvilmodel.ReasonOverload, Ran: anvilmodel.RunStateNotRun}
 		},
 		Refuse:       func(_ anvilmodel.Ticket, r *anvilmodel.Refusal) *anvilmodel.Refusal { return r },
 		MaxBodyBytes: func() int { return 1 << 10 },
--- a/anvilstandin/faults.go
+++ b/anvilstandin/faults.go
@@ -111,13 +111,6 @@
 	u.out = out
 }
 
-// SetHoldings replaces the holdings, as repartitioning does.
-func (u *Upstream) SetHoldings(holdings ...anvilmodel.Holding) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.holdings = slices.Clone(holdings)
-}
-
 // AddHolding adds a snapshot beside those that the leaf holds, in place of an
 // earlier holding of that snapshot.
 func (u *Upstream) AddHolding(h anvilmodel.Holding) {
--- a/anvilupstream/client.go
+++ b/anvilupstream/client.go
@@ -115,18 +115,6 @@
 	}
 }
 
-// Forget closes all connections of a leaf that is no longer used. Calls under
-// way end with CallBroken.
-func (c *Client) Forget(address netip.AddrPort) {
-	c.mu.Lock()
-	l := c.leafs[address]
-	delete(c.leafs, address)
-	c.mu.Unlock()
-	if l != nil {
-		l.shutdown()
-	}
-}
-
 // Shutdown closes all connections and waits for cancellations under way. Calls
 // under way end with CallBroken.
 func (c *Client) Shutdown() {
