--- a/anvilnode/handlers.go
+++ b/anvilnode/handlers.go
@@ -41,7 +41,7 @@
 		},
 		Outcome: n.answerOutcome,
 		LeafStates: func(after uint64) ([]anvilmodel.LeafState, uint64) {
-			return n.states.after(after, time.Now())
+			return n.states.After(after, time.Now())
 		},
 	}
 }
--- a/anvilnode/leafstates.go
+++ b/anvilnode/leafstates.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"math"
-	"slices"
-	"sync"
 	"time"
 
 	"anvilbridge/anvilmodel"
@@ -19,126 +16,15 @@
 	exchangePerMember = 100 * time.Millisecond
 	// loadLifetime is the age above which the choice of a leaf ignores a load.
 	loadLifetime = 2 * time.Second
-	// loadStep is the change of a reported load that is passed on.
-	loadStep = 0.1
 )
 
-// stateStore holds what the node knows of the leafs that it polls, with a version
-// that grows with every change worth passing on.
-type stateStore struct {
-	mu      sync.Mutex
-	version uint64
-	entries map[anvilmodel.LeafName]storedState
-	// ignoreLoads leaves changes of loads alone: in a large fleet they would be
-	// too old to be of use when they arrive.
-	ignoreLoads bool
-}
-
-// storedState keeps what the leaf said apart from this node's judgement, because
-// each has its own age: a state that was just read says nothing about when the
-// leaf was last called.
-type storedState struct {
-	said        anvilmodel.LeafState
-	saidAt      time.Time
-	saidVersion uint64
-
-	judged        anvilmodel.LeafState
-	judgedAt      time.Time
-	judgedVersion uint64
-}
-
-func newStateStore() *stateStore {
-	return &stateStore{
-		entries: make(map[anvilmodel.LeafName]storedState),
-	}
-}
-
-// set takes what a leaf said now, and the dispatcher's judgement if it has one.
-func (s *stateStore) set(said, judged anvilmodel.LeafState, known bool, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	held, ok := s.entries[said.Leaf]
-	next := held
-	next.said = said
-	next.saidAt = now
-	if ok && s.same(held.said, said) {
-		next.said.Load = held.said.Load
-	} else {
-		s.version++
-		next.saidVersion = s.version
-	}
-	next.judged = anvilmodel.LeafState{}
-	if known {
-		next.judged = anvilmodel.LeafState{
-			Leaf:        said.Leaf,
-			Incarnation: judged.Incarnation,
-			Cold:        judged.Cold,
-			Judged:      true,
-		}
-		next.judgedAt = now.Add(-judged.Age)
-	}
-	if known && !s.same(held.judged, next.judged) {
-		s.version++
-		next.judgedVersion = s.version
-	}
-	s.entries[said.Leaf] = next
-}
-
-// drop forgets a leaf that this node no longer polls.
-func (s *stateStore) drop(leaf anvilmodel.LeafName) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.entries, leaf)
-}
-
-// same reports whether nothing changed that is worth passing on.
-func (s *stateStore) same(a, b anvilmodel.LeafState) bool {
-	return a.Incarnation == b.Incarnation && a.Cold == b.Cold && a.Draining == b.Draining &&
-		a.Judged == b.Judged && (s.ignoreLoads || math.Abs(a.Load-b.Load) < loadStep) &&
-		slices.Equal(a.Holdings, b.Holdings)
-}
-
-func (s *stateStore) setIgnoreLoads(ignore bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.ignoreLoads = ignore
-}
-
-// after returns what changed after a version, and the version now. What a leaf
-// said and what this node judges of it are separate entries.
-func (s *stateStore) after(version uint64, now time.Time) ([]anvilmodel.LeafState, uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	changed := []anvilmodel.LeafState{}
-	add := func(state anvilmodel.LeafState, at time.Time) {
-		state.Age = max(now.Sub(at), 0)
-		changed = append(changed, state)
-	}
-	for _, entry := range s.entries {
-		if entry.saidVersion > version {
-			add(entry.said, entry.saidAt)
-		}
-		if entry.judged.Judged && entry.judgedVersion > version {
-			add(entry.judged, entry.judgedAt)
-		}
-	}
-	return changed, s.version
-}
-
-func (s *stateStore) each(use func(anvilmodel.LeafState)) {
-	states, _ := s.after(0, time.Now())
-	for _, state := range states {
-		use(state)
-	}
-}
-
 // observeLeaf takes a state that this node read from a leaf. Queries avoid a leaf
 // that either the leaf itself or the dispatcher says to be cold.
 func (n *Node) observeLeaf(said, judged anvilmodel.LeafState, known bool, now time.Time) {
 	if known && judged.Incarnation == said.Incarnation {
 		said.Cold = said.Cold || judged.Cold
 	}
-	n.states.set(said, judged, known, now)
+	n.states.Set(said, judged, known, now)
 	n.observeOrigin(said)
 }
 
@@ -184,7 +70,7 @@
 			}
 		}
 		interval := max(exchangeInterval, time.Duration(len(members.all))*exchangePerMember)
-		n.states.setIgnoreLoads(interval > loadLifetime)
+		n.states.SetIgnoreLoads(interval > loadLifetime)
 		n.awaitExchange(interval)
 	}
 }
--- a/anvilnode/lifecycle_test.go
+++ b/anvilnode/lifecycle_test.go
@@ -240,31 +240,3 @@
 		t.Errorf("error %v", err)
 	}
 }
-
-// TestJudgementsKeepTheirAge guards against a candidate that has not called a leaf
-// for long but reads its state often: its judgement must not count as newer than
-// that of the candidate that calls the leaf now.
-func TestJudgementsKeepTheirAge(t *testing.T) {
-	now := time.Unix(1000, 0)
-	s := anvilnode.NewStateStore()
-	said := anvilmodel.LeafState{Leaf: "leaf-1", Incarnation: 3, Load: 0.5}
-	judged := anvilmodel.LeafState{Incarnation: 3, Age: time.Hour}
-	s.Set(said, judged, true, now)
-	states, version := s.After(0, now.Add(time.Second))
-	want := []anvilmodel.LeafState{
-		{Leaf: "leaf-1", Incarnation: 3, Load: 0.5, Age: time.Second},
-		{Leaf: "leaf-1", Incarnation: 3, Judged: true, Age: time.Hour + time.Second},
-	}
-	if diff := cmp.Diff(want, states); diff != "" {
-		t.Error(diff)
-	}
-	// What has not changed is not passed on again, what has changed is.
-	s.Set(said, judged, true, now.Add(time.Minute))
-	judged.Cold = true
-	later, _ := s.After(version, now)
-	s.Set(said, judged, true, now.Add(time.Minute))
-	cold, _ := s.After(version, now.Add(time.Minute))
-	if len(later) != 0 || len(cold) != 1 || !cold[0].Judged || !cold[0].Cold {
-		t.Errorf("passed on %v, then %v", later, cold)
-	}
-}
--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -27,6 +27,7 @@
 	"anvilbridge/anvilquery"
 	"anvilbridge/anvilrevision"
 	"anvilbridge/anvilserver"
+	"anvilbridge/anvilstate"
 	"anvilbridge/anvilticket"
 )
 
@@ -99,7 +100,7 @@
 	addressLock sync.Mutex
 	shares      *anviladdress.Shares
 
-	states    *stateStore
+	states    *anvilstate.Store
 	admission *admission
 
 	peers    *anvilpeer.Client
@@ -160,7 +161,7 @@
 		askAgain:   make(chan struct{}, 1),
 		routes:     make(map[anvilmodel.CallID]callRoute),
 		shares:     anviladdress.NewShares(),
-		states:     newStateStore(),
+		states:     anvilstate.New(),
 		admission:  newAdmission(c.MaxQueries),
 		announced:  make(chan struct{}),
 		stopped:    make(chan struct{}),
--- a/anvilnode/query.go
+++ b/anvilnode/query.go
@@ -31,7 +31,10 @@
 		v = n.view.Load()
 		n.applyOrigin(v)
 	}
-	n.states.each(n.observeOrigin)
+	states, _ := n.states.After(0, time.Now())
+	for _, s := range states {
+		n.observeOrigin(s)
+	}
 	close(n.announced)
 }
 
--- a/anvilnode/runners.go
+++ b/anvilnode/runners.go
@@ -134,7 +134,7 @@
 	// of this one yet.
 	n.pause(assignmentSettle)
 	if n.runner(r.leaf.Name) == nil {
-		n.states.drop(r.leaf.Name)
+		n.states.Drop(r.leaf.Name)
 	}
 }
 
