--- a/anvilcommand/command.go
+++ b/anvilcommand/command.go
@@ -13,6 +13,7 @@
 // variable ANVILBRIDGE_ and its name in upper case with underscores.
 type commands struct {
 	Node    nodeCommand    `cmd:"" help:"Run the node of an entry VM."`
+	Gateway gatewayCommand `cmd:"" help:"Run a gateway on the users' platform."`
 	Check   Check          `cmd:"" help:"Check a base file and its overlays."`
 	Render  Render         `cmd:"" help:"Print the effective configuration of a site and the origin of each value."`
 	Diff    Diff           `cmd:"" help:"Print the fields that differ between two sets of documents."`
--- /dev/null
+++ b/anvilgateway/call.go
@@ -0,0 +1,280 @@
+package anvilgateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"anvilbridge/anvilbalance"
+)
+
+const (
+	// maxReplyBytes bounds the body of a leaf's reply.
+	maxReplyBytes = 8 << 20
+	// largeBody is the size from which a body is written while the reply is read: a
+	// leaf may answer before it has read a long body.
+	largeBody = 4 << 10
+)
+
+// hopHeaders concern one connection only and are not forwarded.
+var hopHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Connection":    true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Expect":              true,
+}
+
+// outbound is a caller's request as it is sent to leafs.
+type outbound struct {
+	id string
+	// method is that of the request; it decides whether a reply has a body.
+	request *http.Request
+	// head holds the request line and the headers that all calls share.
+	head          []byte
+	body          []byte
+	deadline      time.Time
+	nonIdempotent bool
+}
+
+// newOutbound prepares the bytes that all calls of a request share.
+func (g *Gateway) newOutbound(r *http.Request, target, id string, body []byte) *outbound {
+	var head bytes.Buffer
+	head.WriteString(r.Method)
+	head.WriteByte(' ')
+	head.WriteString(target)
+	head.WriteString(" HTTP/1.1\r\nHost: ")
+	head.WriteString(r.Host)
+	head.WriteString("\r\n")
+	dropped := connectionHeaders(r.Header)
+	header := make(http.Header, len(r.Header))
+	for name, values := range r.Header {
+		if !hopHeaders[name] && !dropped[name] && !g.config.Protocol.OwnHeader(name) {
+			header[name] = values
+		}
+	}
+	// Writing to a buffer cannot fail.
+	_ = header.Write(&head)
+	if len(body) > 0 || r.ContentLength >= 0 && r.Method != http.MethodGet && r.Method != http.MethodHead {
+		head.WriteString("Content-Length: ")
+		head.WriteString(strconv.Itoa(len(body)))
+		head.WriteString("\r\n")
+	}
+	return &outbound{
+		id:      id,
+		request: &http.Request{Method: r.Method},
+		head:    head.Bytes(),
+		body:    body,
+	}
+}
+
+// connectionHeaders returns the headers that Connection names.
+func connectionHeaders(h http.Header) map[string]bool {
+	var named map[string]bool
+	for _, value := range h["Connection"] {
+		for name := range bytes.SplitSeq([]byte(value), []byte(",")) {
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[http.CanonicalHeaderKey(string(bytes.TrimSpace(name)))] = true
+		}
+	}
+	return named
+}
+
+// reply is how a call ended.
+type reply struct {
+	outcome anvilbalance.Outcome
+	// status, header and body are set if the leaf answered.
+	status int
+	header http.Header
+	body   []byte
+	leaf   LeafReply
+	// err says why there is no good answer.
+	err error
+}
+
+func (r *reply) answered() bool {
+	return r.status != 0
+}
+
+// call sends a request to a leaf once and reads the reply. It ends early when ctx
+// does. A kept connection that the leaf has closed is replaced if certainly no
+// byte was sent.
+func (g *Gateway) call(ctx context.Context, out *outbound, leaf anvilbalance.Leaf) *reply {
+	p := g.pool(leaf)
+	conn := p.take(time.Now(), out.nonIdempotent)
+	for {
+		opened := conn == nil
+		if opened {
+			var err error
+			if conn, err = p.dial(ctx); err != nil {
+				return &reply{
+					outcome: anvilbalance.OutcomeUnsent,
+					err:     err,
+				}
+			}
+		}
+		r, sent := g.exchange(ctx, conn, out, leaf)
+		if opened || sent || ctx.Err() != nil {
+			return r
+		}
+		conn = nil
+	}
+}
+
+// exchange sends the call over a connection and reads the reply. The connection
+// is kept afterwards or closed. sent is false only if certainly no byte of the
+// call was sent.
+func (g *Gateway) exchange(ctx context.Context, conn *leafConn, out *outbound, leaf anvilbalance.Leaf) (r *reply, sent bool) {
+	left := time.Until(out.deadline)
+	message := make([]byte, 0, len(out.head)+len(out.body)+128)
+	message = append(message, out.head...)
+	message = g.config.Protocol.AppendCall(message, max(left, time.Millisecond), leaf.ID)
+	message = append(message, '\r', '\n')
+	// An error shows in the write or read that follows.
+	_ = conn.SetDeadline(out.deadline.Add(replySlack))
+	stop := context.AfterFunc(ctx, func() {
+		_ = conn.SetDeadline(time.Unix(1, 0))
+	})
+	written, err := g.write(conn, message, out.body)
+	if err == nil || written > 0 {
+		r = g.read(conn, out)
+		sent = true
+	} else {
+		r = &reply{
+			outcome: anvilbalance.OutcomeUnsent,
+			err:     err,
+		}
+	}
+	interrupted := !stop()
+	keep := r.answered() && r.err == nil && !interrupted && conn.idleFor > 0 && conn.reader.Buffered() == 0 && len(out.body) < largeBody
+	if keep {
+		g.pool(leaf).put(conn, time.Now(), g.idleLimit(leaf))
+	} else {
+		_ = conn.Close()
+	}
+	if !r.answered() && sent {
+		r.outcome = classify(ctx, r.err)
+	}
+	return r, sent
+}
+
+// replySlack is the time after the deadline in which a leaf's own answer that the
+// time is over may still arrive.
+const replySlack = 50 * time.Millisecond
+
+// write sends head and body. A long body is written in the background while the
+// reply is read, because a leaf may answer before it has read it; the connection
+// is then closed after the reply.
+func (g *Gateway) write(conn *leafConn, head, body []byte) (int, error) {
+	if len(body) < largeBody {
+		return conn.Write(append(head, body...))
+	}
+	n, err := conn.Write(head)
+	if err != nil {
+		return n, err
+	}
+	go func() {
+		// A failure to write shows as a missing reply.
+		_, _ = conn.Write(body)
+	}()
+	return n, nil
+}
+
+// read reads the reply of a call.
+func (g *Gateway) read(conn *leafConn, out *outbound) *reply {
+	resp, err := readResponse(conn, out.request)
+	if err != nil {
+		return &reply{err: err}
+	}
+	body, err := readBody(resp)
+	if err != nil {
+		return &reply{err: err}
+	}
+	leaf := g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
+	if leaf.ID != "" && leaf.ID != out.id {
+		return &reply{
+			err: Crossed.New("the reply answers request %s", leaf.ID),
+		}
+	}
+	conn.idleFor = idleTime(resp.Header)
+	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		conn.idleFor = 0
+	}
+	r := &reply{
+		status: resp.StatusCode,
+		header: resp.Header,
+		body:   body,
+		leaf:   leaf,
+	}
+	switch {
+	case leaf.Misdirected:
+		r.outcome = anvilbalance.OutcomeMisdirected
+	case leaf.NotRun:
+		r.outcome = anvilbalance.OutcomeShed
+	case resp.StatusCode < 300 && leaf.Signature == "":
+		// Not an answer of this leaf: something else listens there, or it is spoilt.
+		return &reply{
+			err: Unsigned.New("the reply with status %d has no signature", resp.StatusCode),
+		}
+	case resp.StatusCode >= 500:
+		r.outcome = anvilbalance.OutcomeFailed
+	default:
+		r.outcome = anvilbalance.OutcomeGood
+	}
+	return r
+}
+
+// readResponse reads the head of the final response.
+func readResponse(conn *leafConn, request *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(conn.reader, request)
+		if err != nil || resp.StatusCode >= 200 {
+			return resp, err
+		}
+	}
+}
+
+// readBody reads the whole body.
+func readBody(resp *http.Response) ([]byte, error) {
+	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength > maxReplyBytes {
+		return nil, TooLarge.New("the reply has %d bytes", resp.ContentLength)
+	}
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(body) > maxReplyBytes {
+		err = TooLarge.New("the reply has over %d bytes", maxReplyBytes)
+	}
+	return body, err
+}
+
+// classify returns the outcome of a call that was sent and not answered.
+func classify(ctx context.Context, err error) anvilbalance.Outcome {
+	var timeout net.Error
+	switch {
+	case ctx.Err() != nil:
+		return anvilbalance.OutcomeAbandoned
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return anvilbalance.OutcomeTimeout
+	default:
+		return anvilbalance.OutcomeLost
+	}
+}
--- /dev/null
+++ b/anvilgateway/connection.go
@@ -0,0 +1,239 @@
+package anvilgateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds opening a connection to a leaf; a healthy one takes 1 to
+	// 10 ms.
+	dialTimeout = 500 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount end a connection that has
+	// gone silent after 3 s.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// userTimeout is the same for bytes that were sent and not acknowledged.
+	userTimeout = 3 * time.Second
+	// defaultIdle is how long a connection is kept idle if the leaf does not state
+	// its timeout.
+	defaultIdle = 15 * time.Second
+	// idleMargin is the part of a stated idle timeout that is left unused, because
+	// the leaf's clock started earlier.
+	idleMargin = 700 * time.Millisecond
+	// freshIdle is the idle time up to which a connection is trusted with a
+	// non-idempotent call.
+	freshIdle  = time.Second
+	readBuffer = 4 << 10
+)
+
+// newDialer returns a dialer whose connections notice a silent peer.
+func newDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			err := raw.Control(func(fd uintptr) {
+				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+			})
+			if err != nil {
+				return err
+			}
+			return failure
+		},
+	}
+}
+
+// leafConn is a connection to a leaf. One call at a time uses it.
+type leafConn struct {
+	net.Conn
+	raw    syscall.RawConn
+	reader *bufio.Reader
+	// idleSince and idleFor say until when the connection may be used again.
+	idleSince time.Time
+	idleFor   time.Duration
+}
+
+// quiet reports whether the connection is open and the leaf has sent nothing
+// since the last reply. Anything that it has sent belongs to no call.
+func (c *leafConn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	quiet := false
+	var probe [1]byte
+	err := c.raw.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// pool holds the connections to one leaf.
+type pool struct {
+	address netip.AddrPort
+	dialer  *net.Dialer
+
+	mu     sync.Mutex
+	idle   []*leafConn
+	closed bool
+	// warming says that connections are being opened early.
+	warming bool
+}
+
+func newPool(address netip.AddrPort, dialer *net.Dialer) *pool {
+	return &pool{
+		address: address,
+		dialer:  dialer,
+	}
+}
+
+// take returns an idle connection, nil if there is none that may be used. Only
+// connections used within the last moment are returned if fresh is set.
+func (p *pool) take(now time.Time, fresh bool) *leafConn {
+	for {
+		c := p.pop()
+		if c == nil {
+			return nil
+		}
+		idle := now.Sub(c.idleSince)
+		if idle < c.idleFor && (!fresh || idle < freshIdle) && c.quiet() {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// pop removes the connection that was used last.
+func (p *pool) pop() *leafConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *pool) dial(ctx context.Context) (*leafConn, error) {
+	conn, err := p.dialer.DialContext(ctx, "tcp", p.address.String())
+	if err != nil {
+		return nil, err
+	}
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &leafConn{
+		Conn:    conn,
+		raw:     raw,
+		reader:  bufio.NewReaderSize(conn, readBuffer),
+		idleFor: defaultIdle,
+	}, nil
+}
+
+// put keeps a connection for the next call, if fewer than limit are idle.
+func (p *pool) put(c *leafConn, now time.Time, limit int) {
+	c.idleSince = now
+	p.mu.Lock()
+	keep := !p.closed && len(p.idle) < limit
+	if keep {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		_ = c.Close()
+	}
+}
+
+// beginWarm reports whether connections may be opened early; endWarm must follow.
+func (p *pool) beginWarm() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.warming || p.closed {
+		return false
+	}
+	p.warming = true
+	return true
+}
+
+func (p *pool) endWarm() {
+	p.mu.Lock()
+	p.warming = false
+	p.mu.Unlock()
+}
+
+// count returns the number of idle connections.
+func (p *pool) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
+// trim closes idle connections beyond the limit and those past their time.
+func (p *pool) trim(now time.Time, limit int) {
+	p.mu.Lock()
+	var surplus []*leafConn
+	kept := p.idle[:0]
+	for i, c := range p.idle {
+		if now.Sub(c.idleSince) >= c.idleFor || len(p.idle)-i > limit {
+			surplus = append(surplus, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	p.idle = kept
+	p.mu.Unlock()
+	for _, c := range surplus {
+		_ = c.Close()
+	}
+}
+
+// close closes the idle connections; those in use are closed after their call.
+func (p *pool) close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.closed = true
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// idleTime returns how long a connection may stay idle after a reply.
+func idleTime(header http.Header) time.Duration {
+	for _, field := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil || seconds < 0 {
+			return 0
+		}
+		return max(time.Duration(seconds)*time.Second-idleMargin, 0)
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/anvilgateway/directory.go
@@ -0,0 +1,65 @@
+package anvilgateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"anvilbridge/anviladdress"
+	"anvilbridge/anvilmodel"
+)
+
+// maxAddresses is the number of addresses that callers accept in an answer.
+const maxAddresses = 64
+
+// dialPeer opens a connection to another node.
+func (g *Gateway) dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return newDialer(peerTimeout).DialContext(ctx, "tcp", address.String())
+}
+
+// serveReady answers the platform's readiness checks.
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != g.config.Protocol.ReadyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case !g.ready():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// serveAddresses tells callers which gateways to use.
+func (g *Gateway) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != g.config.Protocol.AddressPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	addresses := g.addresses(g.config.Protocol.DecodeAddressRequest(r))
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if err := g.config.Protocol.EncodeAddresses(w, addresses, g.config.AddressLifetime); err != nil {
+		g.config.Log.Warn().Str("event", "address-answer-failed").Err(err).Send()
+	}
+}
+
+func (g *Gateway) addresses(domain anvilmodel.FailureDomain) []netip.AddrPort {
+	g.control.Lock()
+	defer g.control.Unlock()
+	answer := anviladdress.Choose(anviladdress.Input{
+		Members:      g.members.Members(),
+		Self:         g.members.Self(),
+		CallerDomain: domain,
+		Count:        maxAddresses,
+		Lifetime:     g.config.AddressLifetime,
+		Random:       g.random,
+	})
+	addresses := make([]netip.AddrPort, 0, len(answer.Addresses))
+	for _, a := range answer.Addresses {
+		addresses = append(addresses, a.CallerAddress)
+	}
+	return addresses
+}
--- /dev/null
+++ b/anvilgateway/errors.go
@@ -0,0 +1,21 @@
+package anvilgateway
+
+import "github.com/joomcode/errorx"
+
+// Errors is the namespace of the errors of this package.
+var Errors = errorx.NewNamespace("anvilgateway")
+
+var (
+	// HistoryGone means that the store no longer knows what happened after a
+	// revision; all items have to be read again.
+	HistoryGone = Errors.NewType("history_gone")
+	// Crossed means that a reply answers another request.
+	Crossed = Errors.NewType("crossed")
+	// Unsigned means that a successful reply does not prove that the leaf ran the
+	// request.
+	Unsigned = Errors.NewType("unsigned")
+	// TooLarge means that a body is longer than accepted.
+	TooLarge = Errors.NewType("too_large")
+	// NoPeer means that no other gateway could be asked.
+	NoPeer = Errors.NewType("no_peer")
+)
--- /dev/null
+++ b/anvilgateway/front.go
@@ -0,0 +1,414 @@
+package anvilgateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilgather"
+	"anvilbridge/anvilmetric"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+const (
+	// abandonGrace is how long calls that are not needed any more may take to end by
+	// themselves, so that their connections are kept.
+	abandonGrace = 250 * time.Millisecond
+	// retryAfterStart is stated by a node that has no configuration yet.
+	retryAfterStart = 300 * time.Millisecond
+	// retryAfterLeaving sends callers of a leaving node to another one.
+	retryAfterLeaving = 10 * time.Millisecond
+	// retryAfterFull is stated when too many requests are worked on.
+	retryAfterFull = 200 * time.Millisecond
+)
+
+// refusal is an answer of the gateway's own.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// ServeHTTP serves a request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	g.lastWork.Store(arrived.UnixNano())
+	running := g.requests.Add(1)
+	defer g.requests.Add(-1)
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	s := &served{
+		gateway: g,
+		writer:  w,
+		arrived: arrived,
+	}
+	if refused := s.accept(r, running); refused != nil {
+		s.refuse(refused)
+		return
+	}
+	s.run(r)
+}
+
+// served is a request that is being served.
+type served struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	arrived time.Time
+	id      string
+	route   *anvilroute.Route
+	version uint64
+	out     *outbound
+	timeout time.Duration
+
+	request *anvilgather.Request
+	replies chan callEnd
+	started []*leafCall
+	// good are the replies of the parts that are in.
+	good []*reply
+	// failure is the last reply of a leaf that failed.
+	failure *reply
+}
+
+// callEnd is the end of a call.
+type callEnd struct {
+	call  int
+	part  int
+	reply *reply
+}
+
+// accept reads the request and finds its route.
+func (s *served) accept(r *http.Request, running int64) *refusal {
+	g := s.gateway
+	table := g.table.Load()
+	head, err := g.config.Protocol.DecodeRequest(r.Header)
+	s.id = head.ID
+	switch {
+	case g.closing.Load():
+		return &refusal{http.StatusServiceUnavailable, "leaving", retryAfterLeaving}
+	case table == nil || !g.leafs.loaded():
+		return &refusal{http.StatusServiceUnavailable, "no-configuration", retryAfterStart}
+	case err != nil:
+		return &refusal{http.StatusBadRequest, err.Error(), 0}
+	}
+	s.version = table.Version()
+	target := requestTarget(r)
+	path, _, _ := strings.Cut(target, "?")
+	s.route = table.Find(r.Host, path)
+	switch {
+	case s.route == nil:
+		return &refusal{http.StatusNotFound, "no-route", 0}
+	case running > int64(g.config.MaxRequests):
+		return &refusal{http.StatusServiceUnavailable, "too-many-requests", retryAfterFull}
+	}
+	body, refused := readRequestBody(r, table.Limits().BodyBytes)
+	if refused != nil {
+		return refused
+	}
+	s.timeout = s.route.Timeout
+	if head.Timeout > 0 && (head.Timeout < s.timeout || s.timeout <= 0) {
+		s.timeout = head.Timeout
+	}
+	s.out = g.newOutbound(r, target, s.id, body)
+	s.out.nonIdempotent = s.route.NonIdempotent
+	s.out.deadline = s.arrived.Add(s.timeout)
+	return nil
+}
+
+// requestTarget returns path and query as the caller sent them.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func readRequestBody(r *http.Request, limit int64) ([]byte, *refusal) {
+	if limit <= 0 {
+		limit = maxReplyBytes
+	}
+	if r.ContentLength > limit {
+		return nil, &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+	}
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, &refusal{http.StatusBadRequest, "body-incomplete", 0}
+	case int64(len(body)) > limit:
+		return nil, &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+	}
+	return body, nil
+}
+
+// run sends the calls of the request, waits for what they bring and answers.
+func (s *served) run(r *http.Request) {
+	g := s.gateway
+	services := s.services()
+	// Calls outlive the request for a moment, unless the caller leaves.
+	calls, abandon := context.WithCancel(g.background)
+	s.request = anvilgather.New(anvilgather.Config{
+		Route:      s.route,
+		Services:   services,
+		Arrived:    s.arrived,
+		Timeout:    s.timeout,
+		HedgeDelay: g.hedgeDelay(s.route),
+		Available: func(name anvilmodel.ServiceName, now time.Time) bool {
+			g.balancing.Lock()
+			defer g.balancing.Unlock()
+			return g.balancer.Available(name, now)
+		},
+		Pick: func(c anvilbalance.Choice, now time.Time) (anvilbalance.Leaf, anvilbalance.Verdict) {
+			g.balancing.Lock()
+			defer g.balancing.Unlock()
+			return g.balancer.Pick(c, now)
+		},
+	})
+	s.good = make([]*reply, len(services))
+	s.replies = make(chan callEnd, len(services)*max(s.route.Attempts, 1))
+	finish := s.loop(r.Context(), calls)
+	switch {
+	case s.request.Open() == 0:
+		abandon()
+	case finish == nil && !s.route.NonIdempotent:
+		abandon()
+	default:
+		// A non-idempotent call that has begun is not interrupted.
+		grace := abandonGrace
+		if s.route.NonIdempotent {
+			grace = s.timeout
+		}
+		time.AfterFunc(grace, abandon)
+	}
+	if finish != nil {
+		s.answer(finish)
+	}
+	s.logEnd(finish)
+}
+
+// services returns the services of the request and counts it for each.
+func (s *served) services() []anvilmodel.ServiceName {
+	g := s.gateway
+	now := time.Now()
+	g.balancing.Lock()
+	defer g.balancing.Unlock()
+	services := s.route.Shards
+	if !s.route.FansOut() {
+		services = []anvilmodel.ServiceName{g.splitter.Choose(s.route)}
+	}
+	for _, name := range services {
+		g.balancer.CountRequest(name, now)
+	}
+	return services
+}
+
+// loop drives the request until it finishes; it returns nil if the caller left.
+func (s *served) loop(caller, calls context.Context) *anvilgather.Action {
+	actions := s.request.Start(time.Now(), nil)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if finish := s.carryOut(calls, actions); finish != nil {
+			return finish
+		}
+		actions = actions[:0]
+		timer.Reset(max(time.Until(s.request.Next()), 0))
+		select {
+		case end := <-s.replies:
+			actions = s.handle(end, actions)
+		case <-timer.C:
+			actions = s.request.Tick(time.Now(), actions)
+		case <-caller.Done():
+			return nil
+		}
+	}
+}
+
+func (s *served) handle(end callEnd, actions []anvilgather.Action) []anvilgather.Action {
+	r := end.reply
+	outcome := r.outcome
+	switch {
+	case outcome == anvilbalance.OutcomeGood && s.route.FansOut() && r.status >= 300:
+		outcome = anvilbalance.OutcomeFailed
+	case outcome == anvilbalance.OutcomeGood:
+		if s.good[end.part] == nil {
+			s.good[end.part] = r
+		}
+	case outcome == anvilbalance.OutcomeFailed:
+		s.failure = r
+	}
+	return s.request.Handle(end.call, outcome, time.Now(), actions)
+}
+
+// carryOut does what the request asks for and returns its end, if it has come.
+func (s *served) carryOut(calls context.Context, actions []anvilgather.Action) *anvilgather.Action {
+	for i := range actions {
+		a := &actions[i]
+		switch a.Kind {
+		case anvilgather.ActionCall:
+			c := &leafCall{
+				served: s,
+				index:  a.Call,
+				part:   a.Part,
+				kind:   a.CallKind,
+				leaf:   a.Leaf,
+			}
+			s.started = append(s.started, c)
+			go c.run(calls)
+		case anvilgather.ActionOverdue:
+			s.started[a.Call].noteOverdue()
+		case anvilgather.ActionFinish:
+			finish := *a
+			return &finish
+		}
+	}
+	return nil
+}
+
+// answer writes the end of the request to the caller.
+func (s *served) answer(finish *anvilgather.Action) {
+	switch {
+	case finish.Finish == anvilgather.FinishAnswered && s.route.FansOut():
+		s.answerMerged()
+	case finish.Finish == anvilgather.FinishAnswered:
+		s.forward(s.good[0])
+	case finish.Finish == anvilgather.FinishRefused:
+		s.write(&refusal{http.StatusServiceUnavailable, finish.Cause.String(), finish.RetryAfter})
+	case finish.Cause == anvilgather.CauseTimeout:
+		s.write(&refusal{http.StatusGatewayTimeout, finish.Cause.String(), 0})
+	case s.failure != nil && !s.route.FansOut():
+		s.forward(s.failure)
+	default:
+		s.write(&refusal{http.StatusBadGateway, finish.Cause.String(), 0})
+	}
+}
+
+// answerMerged writes the greatest records of the parts that are in.
+func (s *served) answerMerged() {
+	signatures := make([]string, 0, len(s.good))
+	parts := make([][]byte, 0, len(s.good))
+	for _, r := range s.good {
+		if r != nil {
+			signatures = append(signatures, r.leaf.Signature)
+			parts = append(parts, r.body)
+		}
+	}
+	merged := anvilgather.MergeTop(parts, s.route.TopRecords)
+	header := s.writer.Header()
+	s.gateway.config.Protocol.EncodeMerged(header, signatures, len(s.good)-len(parts))
+	header.Set("Content-Type", "application/octet-stream")
+	s.send(http.StatusOK, merged)
+}
+
+// forward writes a leaf's reply unchanged.
+func (s *served) forward(r *reply) {
+	header := s.writer.Header()
+	dropped := connectionHeaders(r.header)
+	for name, values := range r.header {
+		if !hopHeaders[name] && !dropped[name] {
+			header[name] = values
+		}
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// Without an entry the server would guess a type.
+		header["Content-Type"] = nil
+	}
+	s.send(r.status, r.body)
+}
+
+func (s *served) send(status int, body []byte) {
+	if status != http.StatusNoContent && status != http.StatusNotModified && s.out.request.Method != http.MethodHead {
+		s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	s.writer.WriteHeader(status)
+	if _, err := s.writer.Write(body); err != nil {
+		s.gateway.config.Log.Info().Str("event", "answer-not-delivered").Str("request", s.id).Err(err).Send()
+	}
+}
+
+// refuse answers a request that was not accepted and logs it.
+func (s *served) refuse(x *refusal) {
+	s.write(x)
+	g := s.gateway
+	route := ""
+	if s.route != nil {
+		route = string(s.route.Name)
+	}
+	g.config.Metrics.Add(anvilmetric.Queries, 1, route, x.reason)
+	g.config.Log.Info().Str("event", "request").Str("request", s.id).Str("route", route).
+		Uint64("version", s.version).Str("outcome", "refused").Int("status", x.status).
+		Str("cause", x.reason).Dur("retry-after-ms", x.retryAfter).Send()
+}
+
+func (s *served) write(x *refusal) {
+	header := s.writer.Header()
+	if x.retryAfter > 0 {
+		s.gateway.config.Protocol.EncodeRetryAfter(header, x.retryAfter)
+	}
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(x.reason)+1))
+	s.writer.WriteHeader(x.status)
+	// The caller may have left; there is nobody else to tell.
+	_, _ = io.WriteString(s.writer, x.reason+"\n")
+}
+
+// logEnd writes the one line of a request that was accepted.
+func (s *served) logEnd(finish *anvilgather.Action) {
+	g := s.gateway
+	elapsed := time.Since(s.arrived)
+	outcome, cause := "caller-left", "none"
+	if finish != nil {
+		outcome, cause = finish.Finish.String(), finish.Cause.String()
+	}
+	g.config.Metrics.Add(anvilmetric.Queries, 1, string(s.route.Name), outcome)
+	g.config.Metrics.Observe(anvilmetric.QueryDuration, elapsed, string(s.route.Name))
+	hedges, retries := s.request.Counts()
+	line := g.config.Log.Info().Str("event", "request").Str("request", s.id).
+		Str("route", string(s.route.Name)).Uint64("version", s.version).
+		Str("outcome", outcome).Str("cause", cause).Dur("elapsed-ms", elapsed).
+		Dur("timeout-ms", s.timeout).Int("parts", len(s.good)).Int("hedges", hedges).Int("retries", retries)
+	if missing := s.request.Missing(); len(missing) > 0 {
+		line.Str("missing", describeMissing(missing))
+	}
+	if finish != nil && finish.Finish == anvilgather.FinishRefused {
+		line.Dur("retry-after-ms", finish.RetryAfter)
+	}
+	line.Send()
+}
+
+// loggedParts bounds the missing parts that a log line names.
+const loggedParts = 8
+
+// describeMissing names missing parts as service:cause:leaf+leaf.
+func describeMissing(missing []anvilgather.MissingPart) string {
+	var text strings.Builder
+	for i, m := range missing {
+		if i == loggedParts {
+			text.WriteString(",+")
+			text.WriteString(strconv.Itoa(len(missing) - loggedParts))
+			break
+		}
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(string(m.Service))
+		text.WriteByte(':')
+		text.WriteString(m.Cause.String())
+		for k, leaf := range m.Leafs {
+			if k == 0 {
+				text.WriteByte(':')
+			} else {
+				text.WriteByte('+')
+			}
+			text.WriteString(string(leaf))
+		}
+	}
+	return text.String()
+}
--- /dev/null
+++ b/anvilgateway/gateway.go
@@ -0,0 +1,230 @@
+package anvilgateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmetric"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilpeer"
+	"anvilbridge/anvilroute"
+)
+
+const (
+	// headerTimeout bounds reading the head of a request.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is how long a caller's connection may be idle; it is above what
+	// operators set, so that a caller never meets a closed connection.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+	// housekeepingPeriod is the time between two rounds of health checks and
+	// closing of surplus connections.
+	housekeepingPeriod = 50 * time.Millisecond
+	// trimRounds is the number of such rounds between two that close connections.
+	trimRounds = 20
+)
+
+// Gateway is a running node.
+type Gateway struct {
+	config Config
+	// background ends when the process does.
+	background context.Context
+	stop       context.CancelFunc
+	tasks      sync.WaitGroup
+
+	table atomic.Pointer[anvilroute.Table]
+
+	// balancing guards balancer and splitter.
+	balancing sync.Mutex
+	balancer  *anvilbalance.Balancer
+	splitter  *anvilroute.Splitter
+
+	connecting sync.Mutex
+	pools      map[anvilmodel.LeafName]*leafPool
+	dialer     *net.Dialer
+
+	// control guards members and answers.
+	control   sync.Mutex
+	members   *anvilmember.Membership
+	answers   map[uint64]chan anvilmember.Answer
+	lastToken uint64
+	random    *rand.Rand
+	// fleet is the size of the fleet as the balancer was told, seenAt when it was
+	// last that large.
+	fleet  int
+	seenAt time.Time
+	peers  *anvilpeer.Client
+
+	configuration *follower
+	leafs         *follower
+
+	requests atomic.Int64
+	lastWork atomic.Int64
+	// leaving is set by the signal to stop, closing when new requests are refused.
+	leaving atomic.Bool
+	closing atomic.Bool
+}
+
+// leafPool is the pool of one process of a leaf.
+type leafPool struct {
+	*pool
+	started time.Time
+}
+
+// New returns a Gateway that does not listen yet.
+func New(c Config) *Gateway {
+	c = c.withDefaults()
+	background, stop := context.WithCancel(context.Background())
+	g := &Gateway{
+		config:     c,
+		background: background,
+		stop:       stop,
+		splitter:   anvilroute.NewSplitter(),
+		pools:      make(map[anvilmodel.LeafName]*leafPool),
+		dialer:     newDialer(dialTimeout),
+		answers:    make(map[uint64]chan anvilmember.Answer),
+		random:     rand.New(rand.NewPCG(c.Seed, 1)),
+		fleet:      1,
+	}
+	c.Balance.FailureDomain = c.FailureDomain
+	c.Balance.Random = rand.New(rand.NewPCG(c.Seed, 2))
+	g.balancer = anvilbalance.New(c.Balance)
+	g.configuration = newFollower(g, c.Store.ConfigurationPrefix, g.applyConfiguration)
+	g.leafs = newFollower(g, c.Store.LeafPrefix, g.applyLeafs)
+	g.startMembers()
+	return g
+}
+
+// goRun runs a task that ends with the background context.
+func (g *Gateway) goRun(task func()) {
+	g.tasks.Add(1)
+	go func() {
+		defer g.tasks.Done()
+		task()
+	}()
+}
+
+// Run serves until Shutdown has finished or ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	defer g.stop()
+	stopWithCaller := context.AfterFunc(ctx, g.stop)
+	defer stopWithCaller()
+	peers, err := anvilpeer.NewServer(g.peerHandlers())
+	if err != nil {
+		return err
+	}
+	group, serving := errgroup.WithContext(g.background)
+	for _, s := range g.servers() {
+		listener, err := net.Listen("tcp", s.Addr)
+		if err != nil {
+			return errorx.Decorate(err, "listening on %s", s.Addr)
+		}
+		group.Go(func() error {
+			if err := s.Serve(listener); err != http.ErrServerClosed {
+				return errorx.Decorate(err, "serving on %s", s.Addr)
+			}
+			return nil
+		})
+		context.AfterFunc(serving, func() { _ = s.Close() })
+	}
+	listener, err := net.Listen("tcp", g.config.Addresses.Peer.String())
+	if err != nil {
+		return errorx.Decorate(err, "listening for other nodes")
+	}
+	group.Go(func() error { return peers.Serve(serving, listener) })
+	g.goRun(g.runMembership)
+	g.goRun(g.configuration.run)
+	g.goRun(g.leafs.run)
+	g.goRun(g.keepHouse)
+	g.config.Log.Info().Str("event", "started").Stringer("caller-address", g.config.Addresses.Caller).
+		Str("failure-domain", string(g.config.FailureDomain)).Send()
+	err = group.Wait()
+	g.stop()
+	g.tasks.Wait()
+	g.config.Log.Info().Str("event", "stopped").Send()
+	return err
+}
+
+// servers returns the HTTP servers. Addresses that are the same share one.
+func (g *Gateway) servers() []*http.Server {
+	a := g.config.Addresses
+	servers := []*http.Server{
+		g.server(a.Caller.String(), g),
+		g.server(a.Ready.String(), http.HandlerFunc(g.serveReady)),
+		g.server(a.Directory.String(), http.HandlerFunc(g.serveAddresses)),
+	}
+	if a.Metrics.IsValid() {
+		mux := http.NewServeMux()
+		mux.Handle(a.MetricsPath, g.config.Metrics.Handler())
+		servers = append(servers, g.server(a.Metrics.String(), mux))
+	}
+	return servers
+}
+
+func (g *Gateway) server(address string, handler http.Handler) *http.Server {
+	return &http.Server{
+		Addr:              address,
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          newServerLog(g.config.Log),
+	}
+}
+
+// keepHouse checks ejected leafs, opens connections early and closes surplus ones.
+func (g *Gateway) keepHouse() {
+	ticker := time.NewTicker(housekeepingPeriod)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-g.background.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		g.balancing.Lock()
+		due := g.balancer.DueChecks(now)
+		g.balancing.Unlock()
+		for _, l := range due {
+			g.goRun(func() { g.checkLeaf(l) })
+		}
+		if round%trimRounds == 0 {
+			g.followFleet(now)
+			g.trimPools(now)
+			g.report()
+		}
+	}
+}
+
+func (g *Gateway) report() {
+	m := g.config.Metrics
+	g.balancing.Lock()
+	known, ejected := g.balancer.Counts()
+	fleet := g.fleet
+	g.balancing.Unlock()
+	m.Set(anvilmetric.LeafsKnown, float64(known))
+	m.Set(anvilmetric.LeafsBreakerOpen, float64(ejected))
+	m.Set(anvilmetric.GatewaysKnown, float64(fleet))
+	m.Set(anvilmetric.QueriesInFlight, float64(g.requests.Load()))
+	if t := g.table.Load(); t != nil {
+		m.Set(anvilmetric.ConfigRevision, float64(t.Version()))
+	}
+}
+
+// ready reports whether the gateway can serve: it has a configuration and knows
+// the leafs.
+func (g *Gateway) ready() bool {
+	return g.table.Load() != nil && g.leafs.loaded() && !g.leaving.Load()
+}
--- /dev/null
+++ b/anvilgateway/leafcall.go
@@ -0,0 +1,68 @@
+package anvilgateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmetric"
+)
+
+// leafCall is one call of a request.
+type leafCall struct {
+	served *served
+	index  int
+	part   int
+	kind   anvilbalance.CallKind
+	leaf   anvilbalance.Leaf
+	// state makes sure that an overdue call is reported to the balancer before its
+	// end, or not at all.
+	state atomic.Int32
+}
+
+// States of a call.
+const (
+	callRunning int32 = iota
+	callOverdue
+	callEnded
+)
+
+// noteOverdue tells the balancer that the call is overdue, unless it has ended.
+func (c *leafCall) noteOverdue() {
+	g := c.served.gateway
+	g.balancing.Lock()
+	defer g.balancing.Unlock()
+	if c.state.CompareAndSwap(callRunning, callOverdue) {
+		g.balancer.Overdue(c.leaf)
+	}
+}
+
+// run sends the call, tells the balancer how it ended and hands the reply over.
+func (c *leafCall) run(ctx context.Context) {
+	s := c.served
+	g := s.gateway
+	start := time.Now()
+	r := g.call(ctx, s.out, c.leaf)
+	elapsed := time.Since(start)
+	g.finishCall(anvilbalance.Result{
+		Leaf:      c.leaf,
+		Route:     s.route.Name,
+		Outcome:   r.outcome,
+		Elapsed:   elapsed,
+		LoadKnown: r.leaf.LoadKnown,
+		Load:      r.leaf.Load,
+		ColdFor:   r.leaf.ColdFor,
+	}, c)
+	g.config.Metrics.Add(anvilmetric.LeafCalls, 1, string(c.leaf.Service), c.kind.String(), r.outcome.String())
+	if r.outcome != anvilbalance.OutcomeGood && r.outcome != anvilbalance.OutcomeAbandoned {
+		g.config.Log.Info().Str("event", "call").Str("request", s.id).Str("leaf", string(c.leaf.ID)).
+			Str("service", string(c.leaf.Service)).Str("kind", c.kind.String()).
+			Str("outcome", r.outcome.String()).Int("status", r.status).Dur("elapsed-ms", elapsed).Err(r.err).Send()
+	}
+	s.replies <- callEnd{
+		call:  c.index,
+		part:  c.part,
+		reply: r,
+	}
+}
--- /dev/null
+++ b/anvilgateway/leafs.go
@@ -0,0 +1,176 @@
+package anvilgateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmetric"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+const (
+	// checkTimeout bounds a health check of an ejected leaf.
+	checkTimeout = 500 * time.Millisecond
+	// warmConnections is the number of connections that are opened early to each
+	// leaf of a query, because opening one takes as long as the shortest calls.
+	warmConnections = 2
+)
+
+// pool returns the connections to a leaf's process.
+func (g *Gateway) pool(leaf anvilbalance.Leaf) *pool {
+	g.connecting.Lock()
+	defer g.connecting.Unlock()
+	held := g.pools[leaf.ID]
+	if held != nil && held.address == leaf.Address && held.started.Equal(leaf.Started) {
+		return held.pool
+	}
+	if held != nil {
+		held.close()
+	}
+	held = &leafPool{
+		pool:    newPool(leaf.Address, g.dialer),
+		started: leaf.Started,
+	}
+	g.pools[leaf.ID] = held
+	return held.pool
+}
+
+// idleLimit returns how many connections to a leaf may be idle.
+func (g *Gateway) idleLimit(leaf anvilbalance.Leaf) int {
+	g.balancing.Lock()
+	defer g.balancing.Unlock()
+	return g.balancer.Connections(leaf.Service)
+}
+
+// trimPools closes the connections to leafs that are gone and surplus ones, and
+// opens some to leafs that queries are sent to.
+func (g *Gateway) trimPools(now time.Time) {
+	type limitedPool struct {
+		*pool
+		limit int
+	}
+	g.balancing.Lock()
+	g.connecting.Lock()
+	var kept []limitedPool
+	var gone []*pool
+	for id, p := range g.pools {
+		if !g.balancer.Held(id) {
+			delete(g.pools, id)
+			gone = append(gone, p.pool)
+			continue
+		}
+		kept = append(kept, limitedPool{
+			pool:  p.pool,
+			limit: g.balancer.Connections(g.balancer.ServiceOf(id)),
+		})
+	}
+	g.connecting.Unlock()
+	leafs := g.balancer.Leafs(now)
+	g.balancing.Unlock()
+	for _, p := range gone {
+		p.close()
+	}
+	for _, p := range kept {
+		p.trim(now, p.limit)
+	}
+	if table := g.table.Load(); table != nil {
+		g.warm(table.Sharded(), leafs)
+	}
+}
+
+// warm opens connections to the leafs of the services.
+func (g *Gateway) warm(services map[anvilmodel.ServiceName]bool, leafs []anvilbalance.Leaf) {
+	for _, l := range leafs {
+		if !services[l.Service] {
+			continue
+		}
+		p := g.pool(l)
+		if p.count() > 0 || !p.beginWarm() {
+			continue
+		}
+		g.goRun(func() {
+			defer p.endWarm()
+			for range min(warmConnections, g.idleLimit(l)) {
+				ctx, cancel := context.WithTimeout(g.background, dialTimeout)
+				conn, err := p.dial(ctx)
+				cancel()
+				if err != nil {
+					return
+				}
+				p.put(conn, time.Now(), warmConnections)
+			}
+		})
+	}
+}
+
+// checkLeaf asks an ejected leaf for its health.
+func (g *Gateway) checkLeaf(l anvilbalance.Leaf) {
+	g.balancing.Lock()
+	path := g.balancer.Settings(l.Service).HealthPath
+	g.balancing.Unlock()
+	healthy := path != "" && g.healthy(l, path)
+	g.balancing.Lock()
+	g.balancer.Checked(l, healthy, time.Now())
+	g.balancing.Unlock()
+	g.config.Metrics.Add(anvilmetric.HealthChecks, 1, outcomeLabel(healthy))
+	if healthy {
+		g.config.Log.Info().Str("event", "leaf-returned").Str("leaf", string(l.ID)).
+			Str("service", string(l.Service)).Str("cause", "health check succeeded").Send()
+	}
+}
+
+func outcomeLabel(ok bool) string {
+	if ok {
+		return "ok"
+	}
+	return "failed"
+}
+
+func (g *Gateway) healthy(l anvilbalance.Leaf, path string) bool {
+	ctx, cancel := context.WithTimeout(g.background, checkTimeout)
+	defer cancel()
+	conn, err := g.pool(l).dial(ctx)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	deadline, _ := ctx.Deadline()
+	_ = conn.SetDeadline(deadline)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Address.String()+path, http.NoBody)
+	if err != nil {
+		return false
+	}
+	if err := request.Write(conn); err != nil {
+		return false
+	}
+	resp, err := readResponse(conn, request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	said := g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
+	return resp.StatusCode == http.StatusOK && (said.Instance == "" || said.Instance == l.ID)
+}
+
+// finishCall tells the balancer how a call ended.
+func (g *Gateway) finishCall(r anvilbalance.Result, c *leafCall) {
+	g.balancing.Lock()
+	r.Overdue = c.state.Swap(callEnded) == callOverdue
+	ejected := g.balancer.Finish(r, time.Now())
+	g.balancing.Unlock()
+	if ejected {
+		g.config.Log.Warn().Str("event", "leaf-ejected").Str("leaf", string(r.Leaf.ID)).
+			Str("service", string(r.Leaf.Service)).Str("last-outcome", r.Outcome.String()).
+			Dur("elapsed-ms", r.Elapsed).Send()
+	}
+}
+
+// hedgeDelay returns when calls of a route are overdue.
+func (g *Gateway) hedgeDelay(route *anvilroute.Route) time.Duration {
+	g.balancing.Lock()
+	defer g.balancing.Unlock()
+	return g.balancer.HedgeDelay(route.Name, route.Target)
+}
--- /dev/null
+++ b/anvilgateway/members.go
@@ -0,0 +1,245 @@
+package anvilgateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmirror"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilpeer"
+)
+
+const (
+	// peerTimeout bounds a question to another node.
+	peerTimeout = time.Second
+	// fleetMemory is how long the largest fleet seen divides the bounds on leafs: a
+	// node that is cut off must not take the shares of the others over at once.
+	fleetMemory = 10 * time.Second
+)
+
+// memberName names the node at a peer address. Seeds state addresses only, so
+// that the address is the name that all nodes agree on.
+func memberName(address netip.AddrPort) anvilmodel.VMName {
+	return anvilmodel.VMName(address.Addr().String())
+}
+
+func (g *Gateway) startMembers() {
+	now := time.Now()
+	g.members = anvilmember.New(anvilmember.Config{
+		Self: anvilmodel.Member{
+			Name:          memberName(g.config.Addresses.Peer),
+			FailureDomain: g.config.FailureDomain,
+			CallerAddress: g.config.Addresses.Caller,
+			PeerAddress:   g.config.Addresses.Peer,
+			Incarnation:   anvilmodel.Incarnation(now.UnixMilli()),
+		},
+		Random: rand.New(rand.NewPCG(g.config.Seed, 3)),
+	}, now)
+	g.peers = anvilpeer.NewClient(anvilpeer.ClientConfig{
+		Dial: anvilpeer.DialFunc(g.dialPeer),
+	})
+	g.setSeeds(g.config.Seeds)
+}
+
+// setSeeds hands the seeds to the membership as members to ask. They are no list
+// of all members, so that the list does not count as a witness.
+func (g *Gateway) setSeeds(seeds []netip.AddrPort) {
+	list := make([]anvilmodel.ListedVM, 0, len(seeds))
+	for _, s := range seeds {
+		list = append(list, anvilmodel.ListedVM{
+			Name:        memberName(s),
+			PeerAddress: s,
+		})
+	}
+	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+		m.SetList(list, now, a)
+		m.SetListUnavailable(now, a)
+	})
+}
+
+func (g *Gateway) peerHandlers() anvilpeer.Handlers {
+	return anvilpeer.Handlers{
+		Probe: g.answerProbe,
+		Published: func(prefix string, after uint64) anvilmirror.Changes {
+			switch prefix {
+			case g.configuration.prefix:
+				return g.configuration.since(after)
+			case g.leafs.prefix:
+				return g.leafs.since(after)
+			default:
+				return anvilmirror.Changes{}
+			}
+		},
+	}
+}
+
+// runMembership ticks the membership.
+func (g *Gateway) runMembership() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-g.background.Done():
+			return
+		case <-timer.C:
+		}
+		g.updateSelf()
+		g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+			m.Tick(now, a)
+			timer.Reset(max(time.Until(m.Next()), time.Millisecond))
+		})
+	}
+}
+
+// updateSelf tells the membership what this node says of itself.
+func (g *Gateway) updateSelf() {
+	state := anvilmember.SelfState{
+		Load:     float64(g.requests.Load()) / float64(g.config.MaxRequests),
+		Revision: max(g.configuration.revision(), g.leafs.revision()),
+		Serving:  g.table.Load() != nil && g.leafs.loaded(),
+		Leaving:  g.leaving.Load(),
+	}
+	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+		m.UpdateSelf(state, now, a)
+	})
+}
+
+// withMembers calls the membership under its lock and carries out what it asks.
+func (g *Gateway) withMembers(call func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions)) {
+	actions := &anvilmember.Actions{}
+	g.control.Lock()
+	call(g.members, time.Now(), actions)
+	waiting := make([]chan anvilmember.Answer, len(actions.Answers))
+	for i, answer := range actions.Answers {
+		waiting[i] = g.answers[answer.Token]
+		delete(g.answers, answer.Token)
+	}
+	g.control.Unlock()
+	for i, answer := range actions.Answers {
+		if waiting[i] != nil {
+			waiting[i] <- answer
+		}
+	}
+	for _, p := range actions.Probes {
+		g.goRun(func() { g.sendProbe(p) })
+	}
+	for _, e := range actions.Events {
+		g.config.Log.Info().Str("event", e.Kind.String()).Str("member", string(e.Member)).
+			Uint64("incarnation", uint64(e.Incarnation)).Str("cause", e.Cause).Send()
+	}
+}
+
+func (g *Gateway) sendProbe(p anvilmember.Probe) {
+	ctx, cancel := context.WithTimeout(g.background, p.Timeout)
+	defer cancel()
+	reply, err := g.peers.Probe(ctx, p.Address, p.Request)
+	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+		if err != nil {
+			m.HandleFailure(p.ID, now, a)
+			return
+		}
+		m.HandleReply(p.ID, reply, now, a)
+	})
+	if err == nil {
+		g.heardRevision(reply.From.Member.Revision)
+	}
+}
+
+// answerProbe hands a probe of another node to the membership and waits for
+// what it says.
+func (g *Gateway) answerProbe(ctx context.Context, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool) {
+	answer := make(chan anvilmember.Answer, 1)
+	var token uint64
+	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+		g.lastToken++
+		token = g.lastToken
+		g.answers[token] = answer
+		m.HandleProbe(token, q, now, a)
+	})
+	g.heardRevision(q.From.Member.Revision)
+	select {
+	case a := <-answer:
+		return a.Reply, !a.Refused
+	case <-ctx.Done():
+	case <-g.background.Done():
+	}
+	g.control.Lock()
+	delete(g.answers, token)
+	g.control.Unlock()
+	return anvilmember.ProbeReply{}, false
+}
+
+// heardRevision notes the latest revision that another node has of any prefix.
+func (g *Gateway) heardRevision(revision uint64) {
+	now := time.Now()
+	latest := max(g.configuration.revision(), g.leafs.revision())
+	if revision <= latest {
+		revision = 0
+	}
+	g.configuration.heard(revision, now)
+	g.leafs.heard(revision, now)
+}
+
+// askPublished reads another node's copy of a prefix.
+func (g *Gateway) askPublished(prefix string, after uint64) (anvilmirror.Changes, error) {
+	address, ok := g.otherMember()
+	if !ok {
+		return anvilmirror.Changes{}, NoPeer.New("no other node is known to be alive")
+	}
+	ctx, cancel := context.WithTimeout(g.background, peerTimeout)
+	defer cancel()
+	return g.peers.Published(ctx, address, prefix, after)
+}
+
+// otherMember returns the peer address of another node, preferring those that
+// have the latest revision.
+func (g *Gateway) otherMember() (netip.AddrPort, bool) {
+	g.control.Lock()
+	defer g.control.Unlock()
+	var best []anvilmodel.Member
+	for _, m := range g.members.Members()[1:] {
+		if m.Status == anvilmodel.MemberDead || !m.PeerAddress.IsValid() {
+			continue
+		}
+		if len(best) > 0 && m.Revision > best[0].Revision {
+			best = best[:0]
+		}
+		if len(best) == 0 || m.Revision == best[0].Revision {
+			best = append(best, m)
+		}
+	}
+	if len(best) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return best[g.random.IntN(len(best))].PeerAddress, true
+}
+
+// followFleet tells the balancer how many nodes share the bounds on leafs.
+func (g *Gateway) followFleet(now time.Time) {
+	count := 0
+	g.control.Lock()
+	for i, m := range g.members.Members() {
+		switch m.Status {
+		case anvilmodel.MemberAlive, anvilmodel.MemberSuspect, anvilmodel.MemberLeaving:
+			count++
+		case anvilmodel.MemberUnheard, anvilmodel.MemberDead:
+			if i == 0 {
+				count++
+			}
+		}
+	}
+	g.control.Unlock()
+	g.balancing.Lock()
+	defer g.balancing.Unlock()
+	if count >= g.fleet {
+		g.seenAt = now
+	}
+	if count > g.fleet || now.Sub(g.seenAt) > fleetMemory {
+		g.fleet = max(count, 1)
+		g.seenAt = now
+		g.balancer.SetNodes(g.fleet)
+	}
+}
--- /dev/null
+++ b/anvilgateway/shutdown.go
@@ -0,0 +1,58 @@
+package anvilgateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+const (
+	// settleTime is how long after the signal to stop callers may still come with an
+	// address answer from before, if they keep it for its stated lifetime.
+	settleMargin = 500 * time.Millisecond
+	// quietTime without a request ends a node that is leaving.
+	quietTime = 400 * time.Millisecond
+	// finishReserve is the part of the grace that is left for requests that were
+	// accepted last.
+	finishReserve = 1300 * time.Millisecond
+	// exitReserve is the part of the grace that is left for the process to end.
+	exitReserve = 250 * time.Millisecond
+	// leavePoll is how often a leaving node looks whether it may end.
+	leavePoll = 50 * time.Millisecond
+)
+
+// Shutdown ends the gateway gracefully. The node tells the others, is no longer
+// named to callers, and serves those that come all the same until none has come
+// for a while or the grace is nearly over. It returns when Run may return.
+func (g *Gateway) Shutdown(ctx context.Context, cause string) {
+	if g.leaving.Swap(true) {
+		return
+	}
+	start := time.Now()
+	g.config.Log.Info().Str("event", "leaving").Str("cause", cause).Int64("requests", g.requests.Load()).Send()
+	g.updateSelf()
+	earliest := start.Add(g.config.AddressLifetime + settleMargin)
+	refuse := start.Add(g.config.Grace - finishReserve)
+	latest := start.Add(g.config.Grace - exitReserve)
+	for {
+		now := time.Now()
+		if !now.Before(refuse) && !g.closing.Swap(true) {
+			g.config.Log.Info().Str("event", "refusing").Int64("requests", g.requests.Load()).Send()
+		}
+		idle := g.requests.Load() == 0
+		quiet := now.Sub(time.Unix(0, g.lastWork.Load())) > quietTime
+		if idle && quiet && now.After(earliest) || !now.Before(latest) || ctx.Err() != nil {
+			break
+		}
+		pause(ctx, leavePoll)
+	}
+	g.config.Log.Info().Str("event", "ending").Int64("requests-cut", g.requests.Load()).
+		Dur("after-ms", time.Since(start)).Send()
+	g.stop()
+}
+
+// Reload takes new settings over. Addresses cannot be changed.
+func (g *Gateway) Reload(seeds []netip.AddrPort) {
+	g.setSeeds(seeds)
+	g.config.Log.Info().Str("event", "settings-reloaded").Int("seeds", len(seeds)).Send()
+}
--- /dev/null
+++ b/anvilgather/action.go
@@ -0,0 +1,117 @@
+package anvilgather
+
+import (
+	"time"
+
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmodel"
+)
+
+// ActionKind says what the owner of a Request has to do.
+type ActionKind int
+
+// Kinds of actions.
+const (
+	// ActionCall sends the call to its leaf; its outcome goes to Handle.
+	ActionCall ActionKind = iota + 1
+	// ActionOverdue tells the balancer that the call is overdue.
+	ActionOverdue
+	// ActionFinish ends the request. It is its last action.
+	ActionFinish
+)
+
+// Action is one thing that a request wants done.
+type Action struct {
+	Kind ActionKind
+	// Call numbers the calls of the request from 0.
+	Call     int
+	Part     int
+	CallKind anvilbalance.CallKind
+	Leaf     anvilbalance.Leaf
+	// Finish, Cause and RetryAfter are set for ActionFinish.
+	Finish FinishKind
+	Cause  Cause
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+}
+
+// FinishKind is how a request ends.
+type FinishKind int
+
+// Ends of requests.
+const (
+	// FinishAnswered means that the parts that are in are the answer.
+	FinishAnswered FinishKind = iota + 1
+	// FinishRefused means that the request has not run and will not run.
+	FinishRefused
+	// FinishFailed means that the request may have run.
+	FinishFailed
+)
+
+// String returns the name used in logs and metrics.
+func (k FinishKind) String() string {
+	switch k {
+	case FinishAnswered:
+		return "answered"
+	case FinishRefused:
+		return "refused"
+	default:
+		return "failed"
+	}
+}
+
+// Cause is why a request is not complete.
+type Cause int
+
+// Causes.
+const (
+	CauseNone Cause = iota
+	// CauseNoLeaf means that a service had no leaf that could be called.
+	CauseNoLeaf
+	// CauseShed means that the leafs refused the call.
+	CauseShed
+	// CauseLeafFailed means that a leaf answered that it failed.
+	CauseLeafFailed
+	// CauseLost means that a leaf's connection ended without an answer.
+	CauseLost
+	// CauseTarget means that the target was about to pass.
+	CauseTarget
+	// CauseTimeout means that the time of the request was over.
+	CauseTimeout
+)
+
+var causeNames = map[Cause]string{
+	CauseNone:       "none",
+	CauseNoLeaf:     "no-leaf",
+	CauseShed:       "leaf-shed",
+	CauseLeafFailed: "leaf-failed",
+	CauseLost:       "leaf-lost",
+	CauseTarget:     "target-reached",
+	CauseTimeout:    "timeout",
+}
+
+// String returns the name used in logs and metrics.
+func (c Cause) String() string {
+	return causeNames[c]
+}
+
+func causeOf(o anvilbalance.Outcome) Cause {
+	switch o {
+	case anvilbalance.OutcomeShed, anvilbalance.OutcomeMisdirected:
+		return CauseShed
+	case anvilbalance.OutcomeFailed:
+		return CauseLeafFailed
+	case anvilbalance.OutcomeTimeout, anvilbalance.OutcomeAbandoned:
+		return CauseTimeout
+	default:
+		return CauseLost
+	}
+}
+
+// MissingPart is a part that is not in the answer.
+type MissingPart struct {
+	Service anvilmodel.ServiceName
+	// Leafs are those that were called.
+	Leafs []anvilmodel.LeafName
+	Cause Cause
+}
--- /dev/null
+++ b/anvilgather/request.go
@@ -0,0 +1,372 @@
+package anvilgather
+
+import (
+	"math"
+	"time"
+
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+const (
+	// shortestReserve and reserveShare say how long before its target a request is
+	// answered, for the way back and for work that waits on a busy node.
+	shortestReserve = 9 * time.Millisecond
+	reserveShare    = 0.06
+	// limitReserve is the same for the end of the request's time.
+	limitReserve = 15 * time.Millisecond
+	// busyDelay is the time after which a leaf is looked for again when all were at
+	// a bound.
+	busyDelay = 15 * time.Millisecond
+	// retryAfterBusy is stated when the leafs were at a bound: a few service times.
+	retryAfterBusy = 100 * time.Millisecond
+	// retryAfterNone is stated when no leaf can be called: the time in which the
+	// platform lists a new one or an ejected one is checked again.
+	retryAfterNone = 400 * time.Millisecond
+	// coverageSlack absorbs the rounding of a floor such as 0.1 * 30.
+	coverageSlack = 1e-9
+)
+
+// Config holds what a request is decided with.
+type Config struct {
+	Route *anvilroute.Route
+	// Services are the services that the request is sent to: the one chosen for it,
+	// or the shards of the route.
+	Services []anvilmodel.ServiceName
+	Arrived  time.Time
+	// Timeout is the time that the caller will wait, at most the route's.
+	Timeout time.Duration
+	// HedgeDelay is the time after which a call is overdue.
+	HedgeDelay time.Duration
+	// Available reports whether a service has leafs that can be called.
+	Available func(name anvilmodel.ServiceName, now time.Time) bool
+	// Pick chooses the leaf of a call.
+	Pick func(c anvilbalance.Choice, now time.Time) (anvilbalance.Leaf, anvilbalance.Verdict)
+}
+
+// Request is the state of one request. It is not safe for concurrent use.
+type Request struct {
+	config   Config
+	parts    []part
+	calls    []call
+	need     int
+	in       int
+	failed   int
+	open     int
+	mayRun   bool
+	done     bool
+	answerAt time.Time
+	limit    time.Time
+	verdict  anvilbalance.Verdict
+}
+
+type part struct {
+	tried   []anvilmodel.LeafName
+	open    int
+	in      bool
+	failed  bool
+	retryAt time.Time
+	kind    anvilbalance.CallKind
+	// cause is why the part has failed.
+	cause Cause
+}
+
+type call struct {
+	part      int
+	leaf      anvilbalance.Leaf
+	kind      anvilbalance.CallKind
+	overdueAt time.Time
+	overdue   bool
+	hedged    bool
+	ended     bool
+}
+
+// New returns a request that is not started.
+func New(c Config) *Request {
+	r := &Request{
+		config: c,
+		parts:  make([]part, len(c.Services)),
+		calls:  make([]call, 0, len(c.Services)+len(c.Services)/4),
+		need:   1,
+	}
+	if c.Route.FansOut() {
+		r.need = max(1, int(math.Ceil(c.Route.MinCoverage*float64(len(c.Services))-coverageSlack)))
+	}
+	reserve := max(shortestReserve, time.Duration(reserveShare*float64(c.Route.Target)))
+	r.answerAt = c.Arrived.Add(c.Route.Target - reserve)
+	r.limit = c.Arrived.Add(c.Timeout - min(limitReserve, c.Timeout/10))
+	return r
+}
+
+// Start sends the first call of each part, or refuses the request.
+func (r *Request) Start(now time.Time, actions []Action) []Action {
+	reachable := 0
+	for i, name := range r.config.Services {
+		if r.config.Available(name, now) {
+			reachable++
+			continue
+		}
+		r.fail(&r.parts[i], CauseNoLeaf)
+	}
+	if reachable < r.need {
+		r.verdict = anvilbalance.VerdictNone
+		return r.finish(FinishRefused, CauseNoLeaf, actions)
+	}
+	for i := range r.parts {
+		if !r.parts[i].failed {
+			actions = r.send(i, anvilbalance.CallFirst, now, actions)
+		}
+	}
+	return r.settle(now, actions)
+}
+
+// Handle takes the outcome of a call over.
+func (r *Request) Handle(index int, o anvilbalance.Outcome, now time.Time, actions []Action) []Action {
+	c := &r.calls[index]
+	if c.ended {
+		return actions
+	}
+	c.ended = true
+	p := &r.parts[c.part]
+	p.open--
+	r.open--
+	if !o.NotRun() {
+		r.mayRun = true
+	}
+	if r.done || p.in {
+		return actions
+	}
+	if o == anvilbalance.OutcomeGood {
+		p.in = true
+		r.in++
+		if p.failed {
+			p.failed = false
+			r.failed--
+		}
+		return r.settle(now, actions)
+	}
+	p.cause = causeOf(o)
+	if p.open == 0 && !p.failed {
+		actions = r.repeat(c.part, o, now, actions)
+	}
+	return r.settle(now, actions)
+}
+
+// repeat sends a failed call to another leaf, if it may be.
+func (r *Request) repeat(index int, o anvilbalance.Outcome, now time.Time, actions []Action) []Action {
+	p := &r.parts[index]
+	if r.config.Route.NonIdempotent && !o.NotRun() || len(p.tried) >= r.config.Route.Attempts {
+		r.fail(p, p.cause)
+		return actions
+	}
+	return r.send(index, anvilbalance.CallRetry, now, actions)
+}
+
+// send makes a call for a part. A part for which no leaf is free is tried again
+// after a moment, one for which there is none fails.
+func (r *Request) send(index int, kind anvilbalance.CallKind, now time.Time, actions []Action) []Action {
+	p := &r.parts[index]
+	leaf, verdict := r.config.Pick(anvilbalance.Choice{
+		Service: r.config.Services[index],
+		Kind:    kind,
+		Tried:   p.tried,
+	}, now)
+	switch verdict {
+	case anvilbalance.VerdictPicked:
+	case anvilbalance.VerdictBusy:
+		p.retryAt = now.Add(busyDelay)
+		p.kind = kind
+		return actions
+	default:
+		if p.open == 0 {
+			r.verdict = verdict
+			if p.cause == CauseNone {
+				p.cause = CauseNoLeaf
+			}
+			r.fail(p, p.cause)
+		}
+		return actions
+	}
+	p.retryAt = time.Time{}
+	p.tried = append(p.tried, leaf.ID)
+	p.open++
+	r.open++
+	r.calls = append(r.calls, call{
+		part:      index,
+		leaf:      leaf,
+		kind:      kind,
+		overdueAt: now.Add(r.config.HedgeDelay),
+	})
+	return append(actions, Action{
+		Kind:     ActionCall,
+		Call:     len(r.calls) - 1,
+		Part:     index,
+		CallKind: kind,
+		Leaf:     leaf,
+	})
+}
+
+// Tick does what is due at now.
+func (r *Request) Tick(now time.Time, actions []Action) []Action {
+	if r.done {
+		return actions
+	}
+	for i := range r.calls {
+		c := &r.calls[i]
+		if c.ended || c.overdue || now.Before(c.overdueAt) {
+			continue
+		}
+		c.overdue = true
+		actions = append(actions, Action{
+			Kind: ActionOverdue,
+			Call: i,
+			Part: c.part,
+			Leaf: c.leaf,
+		})
+	}
+	for i := range r.calls {
+		if c := &r.calls[i]; c.overdue && !c.hedged && !c.ended {
+			c.hedged = true
+			actions = r.hedge(c.part, now, actions)
+		}
+	}
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.in || p.failed || p.retryAt.IsZero() || now.Before(p.retryAt) {
+			continue
+		}
+		p.retryAt = time.Time{}
+		if p.kind == anvilbalance.CallHedge && p.open == 0 {
+			p.kind = anvilbalance.CallRetry
+		}
+		actions = r.send(i, p.kind, now, actions)
+	}
+	return r.settle(now, actions)
+}
+
+// hedge sends a second call for a part whose first one is overdue.
+func (r *Request) hedge(index int, now time.Time, actions []Action) []Action {
+	p := &r.parts[index]
+	if p.in || p.failed || p.open != 1 || r.config.Route.NonIdempotent || len(p.tried) >= r.config.Route.Attempts {
+		return actions
+	}
+	return r.send(index, anvilbalance.CallHedge, now, actions)
+}
+
+func (r *Request) fail(p *part, cause Cause) {
+	p.failed = true
+	p.cause = cause
+	r.failed++
+}
+
+// settle ends the request if its time has come.
+func (r *Request) settle(now time.Time, actions []Action) []Action {
+	total := len(r.parts)
+	switch {
+	case r.done:
+		return actions
+	case r.in == total:
+		return r.finish(FinishAnswered, CauseNone, actions)
+	case r.in+r.failed == total && r.in >= r.need:
+		return r.finish(FinishAnswered, r.missingCause(), actions)
+	case total-r.failed < r.need:
+		return r.finish(r.failure(), r.missingCause(), actions)
+	case !now.Before(r.limit):
+		return r.finish(r.failure(), CauseTimeout, actions)
+	case r.config.Route.FansOut() && r.in >= r.need && !now.Before(r.answerAt):
+		return r.finish(FinishAnswered, CauseTarget, actions)
+	}
+	return actions
+}
+
+// failure is FinishRefused if certainly nothing has run or will run.
+func (r *Request) failure() FinishKind {
+	if r.mayRun || r.open > 0 {
+		return FinishFailed
+	}
+	return FinishRefused
+}
+
+func (r *Request) missingCause() Cause {
+	for i := range r.parts {
+		if r.parts[i].failed {
+			return r.parts[i].cause
+		}
+	}
+	return CauseNone
+}
+
+func (r *Request) finish(kind FinishKind, cause Cause, actions []Action) []Action {
+	r.done = true
+	after := retryAfterBusy
+	if cause == CauseNoLeaf && r.verdict == anvilbalance.VerdictNone {
+		after = retryAfterNone
+	}
+	return append(actions, Action{
+		Kind:       ActionFinish,
+		Finish:     kind,
+		Cause:      cause,
+		RetryAfter: after,
+	})
+}
+
+// Next returns when Tick has to be called at the latest.
+func (r *Request) Next() time.Time {
+	next := r.limit
+	if r.config.Route.FansOut() && r.in >= r.need && r.answerAt.Before(next) {
+		next = r.answerAt
+	}
+	for i := range r.calls {
+		if c := &r.calls[i]; !c.ended && !c.overdue && c.overdueAt.Before(next) && !r.parts[c.part].in {
+			next = c.overdueAt
+		}
+	}
+	for i := range r.parts {
+		p := &r.parts[i]
+		if !p.in && !p.failed && !p.retryAt.IsZero() && p.retryAt.Before(next) {
+			next = p.retryAt
+		}
+	}
+	return next
+}
+
+// Open returns the number of calls that have not ended.
+func (r *Request) Open() int {
+	return r.open
+}
+
+// Counts returns the number of calls by kind.
+func (r *Request) Counts() (hedges, retries int) {
+	for i := range r.calls {
+		switch r.calls[i].kind {
+		case anvilbalance.CallHedge:
+			hedges++
+		case anvilbalance.CallRetry:
+			retries++
+		case anvilbalance.CallFirst:
+		}
+	}
+	return hedges, retries
+}
+
+// Missing returns the parts that are not in, with the causes.
+func (r *Request) Missing() []MissingPart {
+	var missing []MissingPart
+	for i := range r.parts {
+		p := &r.parts[i]
+		if p.in {
+			continue
+		}
+		cause := p.cause
+		if cause == CauseNone {
+			cause = CauseTarget
+		}
+		missing = append(missing, MissingPart{
+			Service: r.config.Services[i],
+			Leafs:   p.tried,
+			Cause:   cause,
+		})
+	}
+	return missing
+}
--- a/anvilmetric/definition.go
+++ b/anvilmetric/definition.go
@@ -120,6 +120,28 @@
 		Help:   "1 while operators have taken the failure domain out, else 0.",
 		Labels: []string{"failure_domain"},
 	}
+	HealthChecks = Definition{
+		Name:   "leaf_health_checks_total",
+		Kind:   KindCounter,
+		Help:   "Health checks of ejected leafs by a gateway, by result (ok or failed).",
+		Labels: []string{"result"},
+	}
+	LeafsKnown = Definition{
+		Name: "leafs_known",
+		Kind: KindGauge,
+		Help: "Leafs that a gateway knows from the platform's store.",
+	}
+	GatewaysKnown = Definition{
+		Name: "gateways_known",
+		Kind: KindGauge,
+		Help: "Gateways, this one included, that the bounds on leafs are divided by.",
+	}
+	StoreReads = Definition{
+		Name:   "store_reads_total",
+		Kind:   KindCounter,
+		Help:   "Reads of the platform's store by a gateway, by kind (read, watch, peer) and result (ok or failed).",
+		Labels: []string{"kind", "result"},
+	}
 	QueriesInFlight = Definition{
 		Name: "queries_in_flight",
 		Kind: KindGauge,
@@ -134,5 +156,6 @@
 		LeafCalls, LeafCallDuration, LeafsCold, LeafsBreakerOpen, LeafQueue, LeafInFlight,
 		RelayedCalls, RepliesDropped, ConfigRevision, Members,
 		PeerMessages, PeerBytes, AuditEvents, DomainOut,
+		HealthChecks, LeafsKnown, GatewaysKnown, StoreReads,
 	}
 }
--- a/anvilpeer/client.go
+++ b/anvilpeer/client.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcpool"
 
 	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilproto"
 	"anvilbridge/anvilrevision"
@@ -192,3 +193,18 @@
 	}
 	return states, reply.GetVersion(), nil
 }
+
+// Published asks for a node's copy of a prefix of the platform's store, as far as
+// it changed after a revision. It returns Unreachable.
+func (c *Client) Published(ctx context.Context, address netip.AddrPort, prefix string, after uint64) (anvilmirror.Changes, error) {
+	request := &anvilproto.PublishedRequest{
+		Prefix: prefix,
+		After:  after,
+	}
+	c.count("published", request)
+	reply, err := c.peer(ctx, address).Published(ctx, request)
+	if err != nil {
+		return anvilmirror.Changes{}, Unreachable.Wrap(err, "reading the published items at %s", address)
+	}
+	return decodePublished(reply), nil
+}
--- a/anvilpeer/server.go
+++ b/anvilpeer/server.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"anvilbridge/anvilmember"
+	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilproto"
 	"anvilbridge/anvilrevision"
@@ -51,7 +52,8 @@
 	Answer []byte
 }
 
-// Handlers are what a Server calls. All must be set and safe for concurrent use.
+// Handlers are what a Server calls. They must be safe for concurrent use. A call
+// whose handler is nil is refused.
 type Handlers struct {
 	// Incarnation returns this node's incarnation.
 	Incarnation func() anvilmodel.Incarnation
@@ -71,6 +73,9 @@
 	// LeafStates returns the states that changed after a version, and the
 	// version now.
 	LeafStates func(after uint64) ([]anvilmodel.LeafState, uint64)
+	// Published returns this node's copy of a prefix of the platform's store, as
+	// far as it changed after a revision.
+	Published func(prefix string, after uint64) anvilmirror.Changes
 }
 
 // Server answers other nodes.
@@ -183,3 +188,11 @@
 	}
 	return reply, nil
 }
+
+// Published implements the drpc service.
+func (s *Server) Published(_ context.Context, q *anvilproto.PublishedRequest) (*anvilproto.PublishedReply, error) {
+	if s.handlers.Published == nil {
+		return nil, Refused.New("this node keeps no copy of the platform's store")
+	}
+	return encodePublished(s.handlers.Published(q.GetPrefix(), q.GetAfter())), nil
+}
--- a/anvilplatform/client.go
+++ b/anvilplatform/client.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -53,8 +51,8 @@
 
 // Client reads from the platform.
 type Client struct {
-	config    Config
-	transport *http.Transport
+	config Config
+	reader *Reader
 }
 
 // New returns a Client. It must be closed by Shutdown.
@@ -69,11 +67,7 @@
 	}
 	return &Client{
 		config: c,
-		transport: &http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableCompression: true,
-			IdleConnTimeout:    idleTimeout,
-		},
+		reader: NewReader(dialer.DialContext),
 	}
 }
 
@@ -102,12 +96,12 @@
 		anvilwire.ParameterWait:  []string{wait.String()},
 	}
 	limit := int64(c.config.MaxDocumentBytes)*int64(c.config.MaxDocuments)*jsonGrowth + jsonOverhead
-	status, body, err := c.get(ctx, &request{
-		address: c.config.ConfigAddress,
-		path:    anvilwire.PathConfigRead,
-		query:   query,
-		timeout: wait + c.config.Timeout,
-		limit:   limit,
+	status, body, err := c.reader.Get(ctx, Read{
+		Address: c.config.ConfigAddress,
+		Path:    anvilwire.PathConfigRead,
+		Query:   query,
+		Timeout: wait + c.config.Timeout,
+		Limit:   limit,
 	})
 	if err != nil {
 		return ConfigRead{}, err
@@ -145,11 +139,11 @@
 // ListVMs reads the published list of live and leaving VMs. It returns
 // Unreachable, TimedOut, BadStatus, TooLarge or Malformed.
 func (c *Client) ListVMs(ctx context.Context) ([]anvilmodel.ListedVM, error) {
-	status, body, err := c.get(ctx, &request{
-		address: c.config.ListAddress,
-		path:    anvilwire.PathVMList,
-		timeout: c.config.Timeout,
-		limit:   c.config.MaxListBytes,
+	status, body, err := c.reader.Get(ctx, Read{
+		Address: c.config.ListAddress,
+		Path:    anvilwire.PathVMList,
+		Timeout: c.config.Timeout,
+		Limit:   c.config.MaxListBytes,
 	})
 	if err != nil {
 		return nil, err
@@ -166,49 +160,5 @@
 
 // Shutdown closes idle connections. Reads under way end with their context.
 func (c *Client) Shutdown() {
-	c.transport.CloseIdleConnections()
-}
-
-type request struct {
-	address netip.AddrPort
-	path    string
-	query   url.Values
-	timeout time.Duration
-	limit   int64
-}
-
-func (c *Client) get(ctx context.Context, r *request) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, r.timeout)
-	defer cancel()
-	target := url.URL{
-		Scheme:   "http",
-		Host:     r.address.String(),
-		Path:     r.path,
-		RawQuery: r.query.Encode(),
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
-	if err != nil {
-		return 0, nil, Unreachable.Wrap(err, "read %s", r.path)
-	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
-		return 0, nil, wrapFailure(err, r.path)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, r.limit+1))
-	if err != nil {
-		return 0, nil, wrapFailure(err, r.path)
-	}
-	if int64(len(body)) > r.limit {
-		return 0, nil, TooLarge.New("read %s: the reply has over %d bytes", r.path, r.limit)
-	}
-	return resp.StatusCode, body, nil
-}
-
-func wrapFailure(err error, path string) error {
-	var timeout net.Error
-	if errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &timeout) && timeout.Timeout()) {
-		return TimedOut.Wrap(err, "read %s", path)
-	}
-	return Unreachable.Wrap(err, "read %s", path)
+	c.reader.Close()
 }
--- /dev/null
+++ b/anvilroute/route.go
@@ -0,0 +1,154 @@
+// Package anvilroute holds the routes of a configuration and finds the one that
+// a request belongs to.
+package anvilroute
+
+import (
+	"strings"
+	"time"
+
+	"anvilbridge/anvilmodel"
+)
+
+// Name names a route.
+type Name string
+
+// WeightedService is one part of a route's traffic.
+type WeightedService struct {
+	Service anvilmodel.ServiceName
+	// Weight is the part's share in proportion to the other weights.
+	Weight float64
+}
+
+// Route says where requests of a host and path prefix go.
+type Route struct {
+	Name   Name
+	Host   string
+	Prefix string
+	// NonIdempotent says that a request may run at most once.
+	NonIdempotent bool
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full value.
+	Target time.Duration
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
+	// Attempts is the number of leafs that one request may be sent to; with
+	// Shards it holds for each shard.
+	Attempts int
+	// Services are the parts of the traffic; empty if Shards is set.
+	Services []WeightedService
+	// Shards are the services that one query fans out to.
+	Shards []anvilmodel.ServiceName
+	// TopRecords is the number of records in the answer to a query.
+	TopRecords int
+	// MinCoverage is the least share of the shards, from 0 to 1, in an answer.
+	MinCoverage float64
+}
+
+// FansOut reports whether requests go to all shards.
+func (r *Route) FansOut() bool {
+	return len(r.Shards) > 0
+}
+
+// Service is a set of interchangeable leafs.
+type Service struct {
+	Name anvilmodel.ServiceName
+	// HealthPath is where a leaf answers health checks.
+	HealthPath string
+	// MaxConnections bounds the connections to one leaf from all nodes together.
+	MaxConnections int
+	// ColdRate is the number of requests a second that a cold leaf tolerates from
+	// all nodes together; 0 means that no rate is stated.
+	ColdRate float64
+	// ColdTime is how long a leaf stays cold after its start.
+	ColdTime time.Duration
+}
+
+// Limits bound what a caller may send. Zero fields are not limited.
+type Limits struct {
+	HeaderBytes   int64
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Configuration is one version of what the operators have set.
+type Configuration struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+}
+
+// Table finds routes. It is immutable.
+type Table struct {
+	version  uint64
+	limits   Limits
+	byHost   map[string][]*Route
+	services map[anvilmodel.ServiceName]Service
+	sharded  map[anvilmodel.ServiceName]bool
+}
+
+// NewTable indexes a configuration.
+func NewTable(c Configuration) *Table {
+	t := &Table{
+		version:  c.Version,
+		limits:   c.Limits,
+		byHost:   make(map[string][]*Route),
+		services: make(map[anvilmodel.ServiceName]Service, len(c.Services)),
+		sharded:  make(map[anvilmodel.ServiceName]bool),
+	}
+	for i := range c.Routes {
+		r := c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], &r)
+		for _, s := range r.Shards {
+			t.sharded[s] = true
+		}
+	}
+	for _, s := range c.Services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 {
+	return t.version
+}
+
+// Limits returns the bounds on what a caller may send.
+func (t *Table) Limits() Limits {
+	return t.limits
+}
+
+// Service returns a service of the configuration.
+func (t *Table) Service(name anvilmodel.ServiceName) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns all services of the configuration.
+func (t *Table) Services() map[anvilmodel.ServiceName]Service {
+	return t.services
+}
+
+// Sharded returns the services that are shards of a route.
+func (t *Table) Sharded() map[anvilmodel.ServiceName]bool {
+	return t.sharded
+}
+
+// Find returns the route with the longest prefix that begins the path. The host
+// may carry a port. It returns nil if no route matches.
+func (t *Table) Find(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	var found *Route
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) && (found == nil || len(r.Prefix) > len(found.Prefix)) {
+			found = r
+		}
+	}
+	return found
+}
