--- a/anvilgateway/follow.go
+++ b/anvilgateway/follow.go
@@ -16,10 +16,16 @@
 
 const (
 	// watchWait is how long a watch waits for a change.
-	watchWait = 25 * time.Second
+	watchWait = 10 * time.Second
 	// watchPause is the time between two watches, so that changes in quick
 	// succession are read together. Changes are due in force within seconds.
 	watchPause = 100 * time.Millisecond
+	// verifyPeriod is the time between two reads that check whether the watches have
+	// missed a change: a store that drops its history may keep them silent for
+	// seconds, and changes are due in force within 3 s.
+	verifyPeriod = 1900 * time.Millisecond
+	// verifyDelay is how long a watch may take to deliver a change.
+	verifyDelay = 150 * time.Millisecond
 	// readTimeout bounds a read of all items, with its pages.
 	readTimeout = 4 * time.Second
 	// firstRetry and longestRetry bound the time between two reads of a store that
@@ -70,7 +76,8 @@
 	return f.mirror.Loaded()
 }
 
-func (f *follower) revision() uint64 {
+// latest returns the revision of the last change that is held.
+func (f *follower) latest() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.mirror.Latest()
@@ -82,14 +89,17 @@
 	return f.mirror.Since(after)
 }
 
-// take applies changes from the store or another node.
-func (f *follower) take(c anvilmirror.Changes) {
+// take applies changes from the store or another node and reports whether there
+// were any.
+func (f *follower) take(c anvilmirror.Changes) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	lapsed := !f.awaySince.IsZero() || time.Since(f.returned) < lapseGrace
-	if fresh := f.mirror.Apply(c); len(fresh) > 0 {
+	fresh := f.mirror.Apply(c)
+	if len(fresh) > 0 {
 		f.apply(fresh, lapsed)
 	}
+	return len(fresh) > 0
 }
 
 // run follows the store until the process ends.
@@ -147,6 +157,44 @@
 	return nil
 }
 
+// verify reads the configuration's items from time to time, and the leafs' if the
+// store is at a revision that neither watch has delivered.
+func (g *Gateway) verify() {
+	for g.background.Err() == nil {
+		pause(g.background, verifyPeriod)
+		if !g.configuration.loaded() {
+			continue
+		}
+		known := max(g.configuration.latest(), g.leafs.latest())
+		revision, missed := g.configuration.check()
+		if revision <= known && !missed {
+			continue
+		}
+		pause(g.background, verifyDelay)
+		if missed || revision > max(g.configuration.latest(), g.leafs.latest()) {
+			g.leafs.check()
+		}
+	}
+}
+
+// check reads all items and returns the store's revision, and whether the watch
+// had missed a change.
+func (f *follower) check() (revision uint64, missed bool) {
+	ctx, cancel := context.WithTimeout(f.gateway.background, readTimeout)
+	defer cancel()
+	c, err := f.gateway.config.Store.ReadAll(ctx, f.prefix)
+	f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, "verify", outcomeLabel(err == nil))
+	if err != nil {
+		f.gateway.config.Log.Debug().Str("event", "store-verify-failed").Str("prefix", f.prefix).Err(err).Send()
+		return 0, false
+	}
+	if missed = f.take(c); missed {
+		f.gateway.config.Log.Info().Str("event", "watch-was-behind").Str("prefix", f.prefix).
+			Uint64("revision", c.Revision).Send()
+	}
+	return c.Revision, missed
+}
+
 // wait returns how long a watch waits: not at all after a failure, so that the
 // store's return is noticed.
 func (f *follower) wait() time.Duration {
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -146,6 +146,7 @@
 	g.goRun(g.runMembership)
 	g.goRun(g.configuration.run)
 	g.goRun(g.leafs.run)
+	g.goRun(g.verify)
 	g.goRun(g.keepHouse)
 	g.config.Log.Info().Str("event", "started").Stringer("caller-address", g.config.Addresses.Caller).
 		Str("failure-domain", string(g.config.FailureDomain)).Send()
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -98,7 +98,7 @@
 func (g *Gateway) updateSelf() {
 	state := anvilmember.SelfState{
 		Load:     float64(g.requests.Load()) / float64(g.config.MaxRequests),
-		Revision: max(g.configuration.revision(), g.leafs.revision()),
+		Revision: max(g.configuration.latest(), g.leafs.latest()),
 		Serving:  g.table.Load() != nil && g.leafs.loaded(),
 		Leaving:  g.leaving.Load(),
 	}
@@ -175,7 +175,7 @@
 // heardRevision notes the latest revision that another node has of any prefix.
 func (g *Gateway) heardRevision(revision uint64) {
 	now := time.Now()
-	latest := max(g.configuration.revision(), g.leafs.revision())
+	latest := max(g.configuration.latest(), g.leafs.latest())
 	if revision <= latest {
 		revision = 0
 	}
