--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -66,7 +66,8 @@
 	out     *outbound
 	timeout time.Duration
 
-	request *anvilgather.Request
+	hedgeDelay time.Duration
+	request    *anvilgather.Request
 	replies chan callEnd
 	started []*leafCall
 	// good are the replies of the parts that are in.
@@ -154,12 +155,13 @@
 	services := s.services()
 	// Calls outlive the request for a moment, unless the caller leaves.
 	calls, abandon := context.WithCancel(g.background)
+	s.hedgeDelay = g.hedgeDelay(s.route)
 	s.request = anvilgather.New(anvilgather.Config{
 		Route:      s.route,
 		Services:   services,
 		Arrived:    s.arrived,
 		Timeout:    s.timeout,
-		HedgeDelay: g.hedgeDelay(s.route),
+		HedgeDelay: s.hedgeDelay,
 		Available: func(name anvilmodel.ServiceName, now time.Time) bool {
 			g.balancing.Lock()
 			defer g.balancing.Unlock()
@@ -373,7 +375,7 @@
 	line := g.config.Log.Info().Str("event", "request").Str("request", s.id).
 		Str("route", string(s.route.Name)).Uint64("version", s.version).
 		Str("outcome", outcome).Str("cause", cause).Dur("elapsed-ms", elapsed).
-		Dur("timeout-ms", s.timeout).Int("parts", len(s.good)).Int("hedges", hedges).Int("retries", retries)
+		Dur("timeout-ms", s.timeout).Int("parts", len(s.good)).Int("hedges", hedges).Int("retries", retries).Dur("hedge-delay-ms", s.hedgeDelay)
 	if missing := s.request.Missing(); len(missing) > 0 {
 		line.Str("missing", describeMissing(missing))
 	}
