--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -34,6 +34,14 @@
 	retryAfter time.Duration
 }
 
+func newRefusal(status int, reason string, retryAfter time.Duration) *refusal {
+	return &refusal{
+		status:     status,
+		reason:     reason,
+		retryAfter: retryAfter,
+	}
+}
+
 // ServeHTTP serves a request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -91,11 +99,11 @@
 	s.id = head.ID
 	switch {
 	case g.closing.Load():
-		return &refusal{http.StatusServiceUnavailable, "leaving", retryAfterLeaving}
+		return newRefusal(http.StatusServiceUnavailable, "leaving", retryAfterLeaving)
 	case table == nil || !g.leafs.loaded():
-		return &refusal{http.StatusServiceUnavailable, "no-configuration", retryAfterStart}
+		return newRefusal(http.StatusServiceUnavailable, "no-configuration", retryAfterStart)
 	case err != nil:
-		return &refusal{http.StatusBadRequest, err.Error(), 0}
+		return newRefusal(http.StatusBadRequest, err.Error(), 0)
 	}
 	s.version = table.Version()
 	target := requestTarget(r)
@@ -103,9 +111,9 @@
 	s.route = table.Find(r.Host, path)
 	switch {
 	case s.route == nil:
-		return &refusal{http.StatusNotFound, "no-route", 0}
+		return newRefusal(http.StatusNotFound, "no-route", 0)
 	case running > int64(g.config.MaxRequests):
-		return &refusal{http.StatusServiceUnavailable, "too-many-requests", retryAfterFull}
+		return newRefusal(http.StatusServiceUnavailable, "too-many-requests", retryAfterFull)
 	}
 	body, refused := readRequestBody(r, table.Limits().BodyBytes)
 	if refused != nil {
@@ -134,7 +142,7 @@
 		limit = maxReplyBytes
 	}
 	if r.ContentLength > limit {
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+		return nil, newRefusal(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 	}
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
@@ -142,9 +150,9 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
 	case err != nil:
-		return nil, &refusal{http.StatusBadRequest, "body-incomplete", 0}
+		return nil, newRefusal(http.StatusBadRequest, "body-incomplete", 0)
 	case int64(len(body)) > limit:
-		return nil, &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+		return nil, newRefusal(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 	}
 	return body, nil
 }
@@ -282,13 +290,13 @@
 	case finish.Finish == anvilgather.FinishAnswered:
 		s.forward(s.good[0])
 	case finish.Finish == anvilgather.FinishRefused:
-		s.write(&refusal{http.StatusServiceUnavailable, finish.Cause.String(), finish.RetryAfter})
+		s.write(newRefusal(http.StatusServiceUnavailable, finish.Cause.String(), finish.RetryAfter))
 	case finish.Cause == anvilgather.CauseTimeout:
-		s.write(&refusal{http.StatusGatewayTimeout, finish.Cause.String(), 0})
+		s.write(newRefusal(http.StatusGatewayTimeout, finish.Cause.String(), 0))
 	case s.failure != nil && !s.route.FansOut():
 		s.forward(s.failure)
 	default:
-		s.write(&refusal{http.StatusBadGateway, finish.Cause.String(), 0})
+		s.write(newRefusal(http.StatusBadGateway, finish.Cause.String(), 0))
 	}
 }
 
--- /dev/null
+++ b/anvilgather/request_test.go
@@ -0,0 +1,282 @@
+package anvilgather_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilgather"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+var start = time.Date(2026, time.December, 4, 8, 0, 0, 0, time.UTC)
+
+// shards is a request's surroundings: services whose leafs are named by the
+// service and a number.
+type shards struct {
+	leafs int
+	// verdicts are returned for a service in place of a leaf.
+	verdicts map[anvilmodel.ServiceName]anvilbalance.Verdict
+	down     map[anvilmodel.ServiceName]bool
+}
+
+func (s *shards) available(name anvilmodel.ServiceName, _ time.Time) bool {
+	return !s.down[name]
+}
+
+func (s *shards) pick(c anvilbalance.Choice, _ time.Time) (anvilbalance.Leaf, anvilbalance.Verdict) {
+	if v, ok := s.verdicts[c.Service]; ok {
+		return anvilbalance.Leaf{}, v
+	}
+	if len(c.Tried) >= s.leafs {
+		return anvilbalance.Leaf{}, anvilbalance.VerdictNone
+	}
+	return anvilbalance.Leaf{
+		ID:      anvilmodel.LeafName(fmt.Sprintf("%s-%d", c.Service, len(c.Tried))),
+		Service: c.Service,
+	}, anvilbalance.VerdictPicked
+}
+
+func newRequest(s *shards, route anvilroute.Route, parts int) *anvilgather.Request {
+	c := anvilgather.Config{
+		Route:      &route,
+		Arrived:    start,
+		Timeout:    800 * time.Millisecond,
+		HedgeDelay: 40 * time.Millisecond,
+		Available:  s.available,
+		Pick:       s.pick,
+	}
+	for i := range parts {
+		c.Services = append(c.Services, anvilmodel.ServiceName(fmt.Sprint(i)))
+	}
+	if parts > 1 {
+		route.Shards = c.Services
+	}
+	route.Target = 150 * time.Millisecond
+	if route.Attempts == 0 {
+		route.Attempts = 2
+	}
+	return anvilgather.New(c)
+}
+
+func ofKind(actions []anvilgather.Action, kind anvilgather.ActionKind) []anvilgather.Action {
+	var found []anvilgather.Action
+	for _, a := range actions {
+		if a.Kind == kind {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+func finishOf(actions []anvilgather.Action) string {
+	for _, a := range ofKind(actions, anvilgather.ActionFinish) {
+		return a.Finish.String() + " " + a.Cause.String()
+	}
+	return ""
+}
+
+// Pattern: a query to 20 shards of which one pauses for longer than the target.
+// Guards against an answer that waits for the last shard beyond the target.
+func TestAnswersAtTheTargetWithTheFloor(t *testing.T) {
+	r := newRequest(&shards{leafs: 1}, anvilroute.Route{MinCoverage: 0.89}, 20)
+	calls := ofKind(r.Start(start, nil), anvilgather.ActionCall)
+	now := start.Add(20 * time.Millisecond)
+	for _, c := range calls[1:] {
+		if f := finishOf(r.Handle(c.Call, anvilbalance.OutcomeGood, now, nil)); f != "" {
+			t.Fatalf("finished at 20 ms with a shard outstanding: %s", f)
+		}
+	}
+	var finish string
+	for finish == "" {
+		now = r.Next()
+		finish = finishOf(r.Tick(now, nil))
+	}
+	if diff := cmp.Diff("answered target-reached", finish); diff != "" {
+		t.Errorf("finish (-want +got):\n%s", diff)
+	}
+	if waited := now.Sub(start); waited < 120*time.Millisecond || waited >= 150*time.Millisecond {
+		t.Errorf("answered after %s, want shortly before 150 ms", waited)
+	}
+}
+
+// Guards against an answer below the floor, and against one that is held back
+// once the floor is reached after the target.
+func TestWaitsForTheFloor(t *testing.T) {
+	r := newRequest(&shards{leafs: 1}, anvilroute.Route{MinCoverage: 0.89}, 20)
+	calls := ofKind(r.Start(start, nil), anvilgather.ActionCall)
+	for _, c := range calls[:17] {
+		r.Handle(c.Call, anvilbalance.OutcomeGood, start.Add(20*time.Millisecond), nil)
+	}
+	now := start.Add(300 * time.Millisecond)
+	if f := finishOf(r.Tick(now, nil)); f != "" {
+		t.Fatalf("finished with 17 of 20 shards: %s", f)
+	}
+	if diff := cmp.Diff("answered target-reached", finishOf(r.Handle(calls[17].Call, anvilbalance.OutcomeGood, now, nil))); diff != "" {
+		t.Errorf("finish with 18 of 20 shards (-want +got):\n%s", diff)
+	}
+}
+
+// Pattern: leafs of three shards are lost at once. Guards against calls and waiting
+// for a query that cannot reach its floor any more.
+func TestUnreachableFloorIsRefusedAtOnce(t *testing.T) {
+	s := &shards{
+		leafs: 2,
+		down: map[anvilmodel.ServiceName]bool{
+			"3": true,
+			"8": true,
+			"9": true,
+		},
+	}
+	actions := newRequest(s, anvilroute.Route{MinCoverage: 0.89}, 20).Start(start, nil)
+	if diff := cmp.Diff("refused no-leaf", finishOf(actions)); diff != "" {
+		t.Errorf("finish (-want +got):\n%s", diff)
+	}
+	if calls := ofKind(actions, anvilgather.ActionCall); len(calls) > 0 {
+		t.Errorf("%d calls were sent for a refused query", len(calls))
+	}
+}
+
+// Guards against a failed shard that keeps the others waiting.
+func TestFailedShardDoesNotDelayTheAnswer(t *testing.T) {
+	r := newRequest(&shards{leafs: 1}, anvilroute.Route{MinCoverage: 0.75}, 4)
+	calls := ofKind(r.Start(start, nil), anvilgather.ActionCall)
+	now := start.Add(10 * time.Millisecond)
+	r.Handle(calls[0].Call, anvilbalance.OutcomeFailed, now, nil)
+	r.Handle(calls[1].Call, anvilbalance.OutcomeGood, now, nil)
+	r.Handle(calls[2].Call, anvilbalance.OutcomeGood, now, nil)
+	if diff := cmp.Diff("answered leaf-failed", finishOf(r.Handle(calls[3].Call, anvilbalance.OutcomeGood, now, nil))); diff != "" {
+		t.Errorf("finish (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a hedge that is sent early, twice or to the same leaf.
+func TestHedgesOnce(t *testing.T) {
+	r := newRequest(&shards{leafs: 3}, anvilroute.Route{Attempts: 3}, 1)
+	first := ofKind(r.Start(start, nil), anvilgather.ActionCall)
+	if calls := ofKind(r.Tick(start.Add(39*time.Millisecond), nil), anvilgather.ActionCall); len(calls) > 0 {
+		t.Fatal("hedged before the delay")
+	}
+	second := ofKind(r.Tick(start.Add(40*time.Millisecond), nil), anvilgather.ActionCall)
+	if len(second) != 1 || second[0].Leaf.ID == first[0].Leaf.ID {
+		t.Fatalf("hedges at the delay: %v", second)
+	}
+	if calls := ofKind(r.Tick(start.Add(100*time.Millisecond), nil), anvilgather.ActionCall); len(calls) > 0 {
+		t.Error("hedged twice")
+	}
+}
+
+// Guards against a non-idempotent request that runs twice, a refusal of one that
+// may have run, and a call to more leafs than the route allows.
+func TestPromises(t *testing.T) {
+	outcomes := []anvilbalance.Outcome{
+		anvilbalance.OutcomeGood, anvilbalance.OutcomeFailed, anvilbalance.OutcomeShed, anvilbalance.OutcomeMisdirected,
+		anvilbalance.OutcomeUnsent, anvilbalance.OutcomeLost, anvilbalance.OutcomeTimeout, anvilbalance.OutcomeAbandoned,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		parts := rapid.IntRange(1, 5).Draw(t, "parts")
+		route := anvilroute.Route{
+			Attempts:    rapid.IntRange(1, 3).Draw(t, "attempts"),
+			MinCoverage: rapid.Float64Range(0, 1).Draw(t, "floor"),
+		}
+		if parts == 1 {
+			route.NonIdempotent = rapid.Bool().Draw(t, "non-idempotent")
+		}
+		r := newRequest(&shards{leafs: 3}, route, parts)
+		perPart := make(map[int]int)
+		var open []anvilgather.Action
+		mayRun, sentAfterRun, good := false, false, 0
+		now := start
+		finish := ""
+		take := func(actions []anvilgather.Action) {
+			for _, a := range ofKind(actions, anvilgather.ActionCall) {
+				open = append(open, a)
+				perPart[a.Part]++
+				sentAfterRun = sentAfterRun || mayRun || len(open) > 1
+			}
+			if f := finishOf(actions); f != "" {
+				if finish != "" {
+					t.Fatalf("finished twice: %s, then %s", finish, f)
+				}
+				finish = f
+				if ofKind(actions, anvilgather.ActionFinish)[0].Finish == anvilgather.FinishRefused && (mayRun || len(open) > 0) {
+					t.Fatal("refused as not run although a call may have run")
+				}
+			}
+		}
+		take(r.Start(now, nil))
+		for range 100 {
+			if finish != "" {
+				break
+			}
+			if len(open) > 0 && rapid.Bool().Draw(t, "reply") {
+				i := rapid.IntRange(0, len(open)-1).Draw(t, "call")
+				call := open[i]
+				open = append(open[:i:i], open[i+1:]...)
+				o := rapid.SampledFrom(outcomes).Draw(t, "outcome")
+				mayRun = mayRun || !o.NotRun()
+				if o == anvilbalance.OutcomeGood {
+					good++
+				}
+				take(r.Handle(call.Call, o, now, nil))
+				continue
+			}
+			now = r.Next()
+			take(r.Tick(now, nil))
+		}
+		if finish == "" {
+			t.Fatal("the request never ends")
+		}
+		for part, n := range perPart {
+			if n > route.Attempts {
+				t.Fatalf("part %d was sent to %d leafs, at most %d are allowed", part, n, route.Attempts)
+			}
+		}
+		if route.NonIdempotent && sentAfterRun {
+			t.Fatal("a non-idempotent request was sent again although it may have run")
+		}
+		if now.After(start.Add(800 * time.Millisecond)) {
+			t.Fatalf("ended %s after the timeout", now.Sub(start.Add(800*time.Millisecond)))
+		}
+	})
+}
+
+// Guards against records that are lost, doubled or misplaced by the merge.
+func TestMergeTop(t *testing.T) {
+	record := func(b byte) []byte {
+		r := make([]byte, anvilgather.RecordSize)
+		r[0] = b
+		return r
+	}
+	join := func(records ...[]byte) []byte {
+		var all []byte
+		for _, r := range records {
+			all = append(all, r...)
+		}
+		return all
+	}
+	parts := [][]byte{
+		join(record(3), record(9), record(1)),
+		join(record(9), record(5), []byte("rest")),
+		nil,
+	}
+	want := join(record(9), record(9), record(5), record(3))
+	if diff := cmp.Diff(want, anvilgather.MergeTop(parts, 4)); diff != "" {
+		t.Errorf("records (-want +got):\n%s", diff)
+	}
+}
+
+func ExampleMergeTop() {
+	parts := [][]byte{
+		[]byte("record-a-1234567record-c-1234567"),
+		[]byte("record-b-1234567"),
+	}
+	// A record has 16 bytes; "record-a-1234567" is one.
+	fmt.Printf("%s\n", anvilgather.MergeTop(parts, 2))
+	// Output: record-c-1234567record-b-1234567
+}
