Test the gateway over sockets, and close leaf connections at its end

Cause: the pools of leaf connections stayed open after Run had returned (TestExtraAnswerReachesNobody waited for its leaf without end). Members are named by address and port, so that two nodes may share a machine.

--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -200,6 +200,7 @@
 	if err != nil {
 		return &reply{err: err}
 	}
+	defer func() { _ = resp.Body.Close() }()
 	body, err := readBody(resp)
 	if err != nil {
 		return &reply{err: err}
@@ -250,7 +251,6 @@
 
 // readBody reads the whole body.
 func readBody(resp *http.Response) ([]byte, error) {
-	defer func() { _ = resp.Body.Close() }()
 	if resp.ContentLength > maxReplyBytes {
 		return nil, TooLarge.New("the reply has %d bytes", resp.ContentLength)
 	}
--- /dev/null
+++ b/anvilgateway/fixture_test.go
@@ -0,0 +1,363 @@
+package anvilgateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilgateway"
+	"anvilbridge/anvilmetric"
+	"anvilbridge/anvilmirror"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+const (
+	seed = 20261204
+	// patience bounds waiting for something that must come; it is not a measurement.
+	patience = 20 * time.Second
+)
+
+// The fixture has its own names on the wire, which shows that the package knows
+// none.
+const (
+	headerID        = "Test-Id"
+	headerTimeout   = "Test-Timeout"
+	headerLeaf      = "Test-Leaf"
+	headerSignature = "Test-Signature"
+	headerNotRun    = "Test-Not-Run"
+	headerMissing   = "Test-Missing"
+	headerParts     = "Test-Parts"
+	headerRetry     = "Test-Retry-After"
+)
+
+func protocol() anvilgateway.Protocol {
+	return anvilgateway.Protocol{
+		DecodeRequest: func(h http.Header) (anvilgateway.RequestHead, error) {
+			id := h.Get(headerID)
+			if id == "" {
+				return anvilgateway.RequestHead{}, errors.New("no id")
+			}
+			timeout, _ := time.ParseDuration(h.Get(headerTimeout))
+			return anvilgateway.RequestHead{
+				ID:      id,
+				Timeout: timeout,
+			}, nil
+		},
+		OwnHeader: func(name string) bool { return name == headerLeaf || name == headerTimeout },
+		AppendCall: func(lines []byte, timeout time.Duration, leaf anvilmodel.LeafName) []byte {
+			return append(lines, headerTimeout+": "+timeout.String()+"\r\n"+headerLeaf+": "+string(leaf)+"\r\n"...)
+		},
+		DecodeReply: func(status int, h http.Header) anvilgateway.LeafReply {
+			return anvilgateway.LeafReply{
+				ID:          h.Get(headerID),
+				Signature:   h.Get(headerSignature),
+				NotRun:      h.Get(headerNotRun) != "",
+				Misdirected: status == http.StatusMisdirectedRequest,
+			}
+		},
+		EncodeMerged: func(h http.Header, signatures []string, missing int) {
+			h.Set(headerParts, strings.Join(signatures, ","))
+			h.Set(headerMissing, strconv.Itoa(missing))
+		},
+		EncodeRetryAfter: func(h http.Header, after time.Duration) { h.Set(headerRetry, after.String()) },
+		ReadyPath:        "/ready",
+		AddressPath:      "/addresses",
+		DecodeAddressRequest: func(*http.Request) anvilmodel.FailureDomain {
+			return ""
+		},
+		EncodeAddresses: func(w http.ResponseWriter, addresses []netip.AddrPort, _ time.Duration) error {
+			return json.NewEncoder(w).Encode(addresses)
+		},
+	}
+}
+
+// store is the platform's store, in memory.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]anvilmirror.Item
+	changed  chan struct{}
+	down     atomic.Bool
+	// mute makes watches say nothing.
+	mute          atomic.Bool
+	configuration atomic.Pointer[anvilroute.Configuration]
+	leafs         sync.Map
+}
+
+func newStore() *store {
+	return &store{
+		revision: 1,
+		items:    make(map[string]anvilmirror.Item),
+		changed:  make(chan struct{}),
+	}
+}
+
+func (s *store) put(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = anvilmirror.Item{
+		Key:      key,
+		Value:    []byte(key),
+		Revision: s.revision,
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) configure(c anvilroute.Configuration) {
+	s.configuration.Store(&c)
+	s.put("config/now")
+}
+
+func (s *store) register(l anvilbalance.Leaf) {
+	s.leafs.Store("leafs/"+string(l.ID), l)
+	s.put("leafs/" + string(l.ID))
+}
+
+func (s *store) read(prefix string, after uint64) (anvilmirror.Changes, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := anvilmirror.Changes{
+		Revision: s.revision,
+		Complete: after == 0,
+	}
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) && i.Revision > after {
+			c.Items = append(c.Items, i)
+		}
+	}
+	return c, s.changed
+}
+
+var errDown = errors.New("the store is down")
+
+func (s *store) gateway() anvilgateway.Store {
+	return anvilgateway.Store{
+		ConfigurationPrefix: "config/",
+		LeafPrefix:          "leafs/",
+		ReadAll: func(_ context.Context, prefix string) (anvilmirror.Changes, error) {
+			if s.down.Load() {
+				return anvilmirror.Changes{}, errDown
+			}
+			c, _ := s.read(prefix, 0)
+			return c, nil
+		},
+		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) (anvilmirror.Changes, error) {
+			ctx, cancel := context.WithTimeout(ctx, wait)
+			defer cancel()
+			for {
+				if s.down.Load() {
+					return anvilmirror.Changes{}, errDown
+				}
+				c, changed := s.read(prefix, after)
+				if len(c.Items) > 0 && !s.mute.Load() {
+					return c, nil
+				}
+				select {
+				case <-changed:
+				case <-ctx.Done():
+					return anvilmirror.Changes{Revision: after}, nil
+				}
+			}
+		},
+		DecodeKey: func(key string) anvilgateway.Key {
+			if id, ok := strings.CutPrefix(key, "leafs/"); ok {
+				return anvilgateway.Key{
+					Kind: anvilgateway.ItemLeaf,
+					Leaf: anvilmodel.LeafName(id),
+				}
+			}
+			return anvilgateway.Key{
+				Kind: anvilgateway.ItemConfiguration,
+			}
+		},
+		DecodeConfiguration: func([]byte) (anvilroute.Configuration, error) {
+			return *s.configuration.Load(), nil
+		},
+		DecodeLeaf: func(key string, _ []byte) (anvilbalance.Leaf, error) {
+			l, ok := s.leafs.Load(key)
+			if !ok {
+				return anvilbalance.Leaf{}, errors.New("no such leaf")
+			}
+			return l.(anvilbalance.Leaf), nil
+		},
+	}
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// running is a gateway under test.
+type running struct {
+	*anvilgateway.Gateway
+	addresses anvilgateway.Addresses
+	done      chan error
+	client    *http.Client
+}
+
+// startGateway runs a gateway until the test ends.
+func startGateway(t *testing.T, s *store, seeds ...netip.AddrPort) *running {
+	t.Helper()
+	metrics := anvilmetric.New(anvilmetric.Config{})
+	addresses := anvilgateway.Addresses{
+		Caller:    freeAddress(t),
+		Ready:     freeAddress(t),
+		Directory: freeAddress(t),
+		Peer:      freeAddress(t),
+	}
+	g := &running{
+		addresses: addresses,
+		done:      make(chan error, 1),
+		client:    &http.Client{Transport: &http.Transport{}},
+		Gateway: anvilgateway.New(anvilgateway.Config{
+			Name:            t.Name(),
+			Addresses:       addresses,
+			Seeds:           append([]netip.AddrPort{addresses.Peer}, seeds...),
+			Protocol:        protocol(),
+			Store:           s.gateway(),
+			AddressLifetime: 100 * time.Millisecond,
+			Balance: anvilbalance.Config{
+				RetrySlack: 50,
+			},
+			Seed:            seed,
+			Log:             zerolog.Nop(),
+			Metrics:         metrics,
+		}),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { g.done <- g.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-g.done; err != nil {
+			t.Errorf("gateway: %v", err)
+		}
+		g.client.CloseIdleConnections()
+		_ = metrics.Close()
+	})
+	return g
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("still not true after %s: %s", patience, what)
+		}
+	}
+}
+
+func (g *running) ready() bool {
+	resp, err := g.client.Get("http://" + g.addresses.Ready.String() + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (g *running) send(ctx context.Context, method, path, id string) (answer, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+g.addresses.Caller.String()+path, http.NoBody)
+	if err != nil {
+		return answer{}, err
+	}
+	req.Host = "lots.example"
+	req.Header.Set(headerTimeout, "5s")
+	if id != "" {
+		req.Header.Set(headerID, id)
+	}
+	resp, err := g.client.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode,
+		header: resp.Header,
+		body:   string(body),
+	}, err
+}
+
+// startLeaf serves a leaf until the test ends and returns its entry.
+func startLeaf(t *testing.T, id, service string, handler http.HandlerFunc) anvilbalance.Leaf {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return entry(id, service, server.Listener.Addr().String())
+}
+
+func entry(id, service, address string) anvilbalance.Leaf {
+	return anvilbalance.Leaf{
+		ID:      anvilmodel.LeafName(id),
+		Service: anvilmodel.ServiceName(service),
+		Address: netip.MustParseAddrPort(address),
+		Slots:   2,
+	}
+}
+
+// goodLeaf answers with a signature and a body that name the leaf.
+func goodLeaf(id, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerLeaf) != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		w.Header().Set(headerID, r.Header.Get(headerID))
+		w.Header().Set(headerSignature, "by-"+id)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func service(name string) anvilroute.Service {
+	return anvilroute.Service{
+		Name:           anvilmodel.ServiceName(name),
+		HealthPath:     "/health",
+		MaxConnections: 20,
+	}
+}
+
+func single(name, prefix, to string, nonIdempotent bool) anvilroute.Route {
+	return anvilroute.Route{
+		Name:          anvilroute.Name(name),
+		Host:          "lots.example",
+		Prefix:        prefix,
+		NonIdempotent: nonIdempotent,
+		Timeout:       5 * time.Second,
+		Target:        2 * time.Second,
+		Attempts:      2,
+		Services: []anvilroute.WeightedService{{
+			Service: anvilmodel.ServiceName(to),
+			Weight:  1,
+		}},
+	}
+}
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -153,6 +153,10 @@
 	err = group.Wait()
 	g.stop()
 	g.tasks.Wait()
+	g.closePools()
+	if err := g.peers.Close(); err != nil {
+		g.config.Log.Debug().Str("event", "peers-not-closed").Err(err).Send()
+	}
 	g.config.Log.Info().Str("event", "stopped").Send()
 	return err
 }
--- /dev/null
+++ b/anvilgateway/gateway_test.go
@@ -0,0 +1,332 @@
+package anvilgateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+// Guards against a merged answer that misstates its parts or records, and checks
+// the answers to requests that have no route or no id.
+func TestServesQueriesAndRefusals(t *testing.T) {
+	s := newStore()
+	s.register(startLeaf(t, "a1", "a", goodLeaf("a1", "record-1-1234567record-3-1234567")))
+	s.register(startLeaf(t, "b1", "b", goodLeaf("b1", "record-2-1234567")))
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a"), service("b"), service("c")},
+		Routes: []anvilroute.Route{{
+			Name:        "query",
+			Host:        "lots.example",
+			Prefix:      "/query/",
+			Timeout:     5 * time.Second,
+			Target:      4 * time.Second,
+			Attempts:    2,
+			Shards:      []anvilmodel.ServiceName{"a", "b", "c"},
+			TopRecords:  2,
+			MinCoverage: 0.6,
+		}},
+	})
+	g := startGateway(t, s)
+	eventually(t, "the gateway is ready", g.ready)
+	got, err := g.send(t.Context(), http.MethodGet, "/query/x", "id-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := answer{
+		status: http.StatusOK,
+		body:   "record-3-1234567record-2-1234567",
+	}
+	if diff := cmp.Diff([]any{want.status, want.body, "by-a1,by-b1", "1"},
+		[]any{got.status, got.body, got.header.Get(headerParts), got.header.Get(headerMissing)}); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	for _, c := range []struct {
+		path   string
+		id     string
+		status int
+	}{
+		{"/none/", "id-2", http.StatusNotFound},
+		{"/query/x", "", http.StatusBadRequest},
+	} {
+		got, err := g.send(t.Context(), http.MethodGet, c.path, c.id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(c.status, got.status); diff != "" {
+			t.Errorf("status of %s with id %q (-want +got):\n%s", c.path, c.id, diff)
+		}
+	}
+}
+
+// Guards against a gateway without a configuration that tells callers that their
+// route does not exist.
+func TestRefusesBeforeTheFirstConfiguration(t *testing.T) {
+	g := startGateway(t, newStore())
+	var got answer
+	eventually(t, "the gateway listens", func() bool {
+		var err error
+		got, err = g.send(t.Context(), http.MethodGet, "/query/x", "id-1")
+		return err == nil
+	})
+	if got.status != http.StatusServiceUnavailable || got.header.Get(headerRetry) == "" {
+		t.Errorf("status %d with the time to come back %q", got.status, got.header.Get(headerRetry))
+	}
+	if g.ready() {
+		t.Error("ready without a configuration")
+	}
+}
+
+// Guards against a non-idempotent request that runs a second time after its
+// leaf's connection was lost, and against calling it not run.
+func TestNonIdempotentIsNotRepeated(t *testing.T) {
+	s := newStore()
+	var runs atomic.Int64
+	for i := range 3 {
+		s.register(startLeaf(t, fmt.Sprint("a", i), "a", func(w http.ResponseWriter, _ *http.Request) {
+			runs.Add(1)
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_ = conn.Close()
+			}
+		}))
+	}
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a")},
+		Routes:   []anvilroute.Route{single("book", "/book/", "a", true)},
+	})
+	g := startGateway(t, s)
+	eventually(t, "the gateway is ready", g.ready)
+	got, err := g.send(t.Context(), http.MethodPost, "/book/1", "id-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{http.StatusBadGateway, int64(1)}, []any{got.status, runs.Load()}); diff != "" {
+		t.Errorf("status and runs (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a refusal by one leaf that reaches the caller although another
+// leaf can run the request.
+func TestShedCallGoesToAnotherLeaf(t *testing.T) {
+	s := newStore()
+	s.register(startLeaf(t, "full", "a", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	s.register(startLeaf(t, "free", "a", goodLeaf("free", "done")))
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a")},
+		Routes:   []anvilroute.Route{single("book", "/book/", "a", true)},
+	})
+	g := startGateway(t, s)
+	eventually(t, "the gateway is ready", g.ready)
+	for i := range 20 {
+		got, err := g.send(t.Context(), http.MethodPost, "/book/1", fmt.Sprint("id-", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]any{http.StatusOK, "done"}, []any{got.status, got.body}); diff != "" {
+			t.Fatalf("answer %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
+
+// Pattern: a leaf sends a second answer to a request, which arrives where the
+// next request's is expected. Guards against answers that reach another caller.
+func TestExtraAnswerReachesNobody(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() { answerTwice(conn) })
+		}
+	})
+	t.Cleanup(serving.Wait)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := newStore()
+	s.register(entry("a1", "a", listener.Addr().String()))
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a")},
+		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
+	})
+	g := startGateway(t, s)
+	eventually(t, "the gateway is ready", g.ready)
+	for i := range 30 {
+		id := fmt.Sprint("id-", i)
+		got, err := g.send(t.Context(), http.MethodGet, "/get/x", id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.status == http.StatusOK && got.body != id {
+			t.Fatalf("request %s got the answer %q", id, got.body)
+		}
+	}
+}
+
+// answerTwice answers every request on a connection twice.
+func answerTwice(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get(headerID)
+		reply := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", headerID, id, headerSignature, len(id), id)
+		if _, err := conn.Write([]byte(reply)); err != nil {
+			return
+		}
+		// The extra answer comes apart from the first one.
+		time.Sleep(time.Millisecond)
+		if _, err := conn.Write([]byte(reply)); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against leafs that go on working for a caller who has left.
+func TestCallsEndWithTheCaller(t *testing.T) {
+	s := newStore()
+	begun, ended := make(chan struct{}), make(chan struct{})
+	s.register(startLeaf(t, "a1", "a", func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		close(ended)
+	}))
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a")},
+		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
+	})
+	g := startGateway(t, s)
+	eventually(t, "the gateway is ready", g.ready)
+	ctx, leave := context.WithCancel(t.Context())
+	sent := make(chan error, 1)
+	go func() {
+		_, err := g.send(ctx, http.MethodGet, "/get/x", "id-1")
+		sent <- err
+	}()
+	<-begun
+	leave()
+	<-sent
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Error("the leaf still works for a caller who has left")
+	}
+}
+
+// Guards against a shutdown that cuts off a request, and against a node that is
+// leaving and still says that it is ready.
+func TestShutdownFinishesRequests(t *testing.T) {
+	s := newStore()
+	begun, release := make(chan struct{}), make(chan struct{})
+	s.register(startLeaf(t, "a1", "a", func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-release
+		goodLeaf("a1", "done")(w, r)
+	}))
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a")},
+		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
+	})
+	g := startGateway(t, s)
+	eventually(t, "the gateway is ready", g.ready)
+	answers := make(chan answer, 1)
+	go func() {
+		got, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-1")
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- got
+	}()
+	<-begun
+	stopped := make(chan struct{})
+	go func() {
+		g.Shutdown(t.Context(), "test")
+		close(stopped)
+	}()
+	eventually(t, "the node is no longer ready", func() bool { return !g.ready() })
+	close(release)
+	if diff := cmp.Diff("done", (<-answers).body); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	<-stopped
+}
+
+// Pattern: the store turns one node away and serves the others. Guards against a
+// node that stays without the configuration that the others have.
+func TestLearnsFromOtherNode(t *testing.T) {
+	s := newStore()
+	s.register(startLeaf(t, "a1", "a", goodLeaf("a1", "done")))
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a")},
+		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
+	})
+	first := startGateway(t, s)
+	eventually(t, "the first node is ready", first.ready)
+	away := newStore()
+	away.down.Store(true)
+	away.configuration.Store(s.configuration.Load())
+	s.leafs.Range(func(key, l any) bool {
+		away.leafs.Store(key, l)
+		return true
+	})
+	second := startGateway(t, away, first.addresses.Peer)
+	eventually(t, "the second node is ready", second.ready)
+	got, err := second.send(t.Context(), http.MethodGet, "/get/x", "id-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("done", got.body); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
+
+// Pattern: the store drops its history and keeps waiting watches silent. Guards
+// against a configuration that is in force only after the watch has ended.
+func TestConfigurationDespiteSilentWatch(t *testing.T) {
+	s := newStore()
+	s.register(startLeaf(t, "a1", "a", goodLeaf("a1", "done")))
+	c := anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a")},
+		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
+	}
+	s.configure(c)
+	g := startGateway(t, s)
+	eventually(t, "the gateway is ready", g.ready)
+	s.mute.Store(true)
+	c.Version = 2
+	c.Routes = append(c.Routes, single("new", "/new/", "a", false))
+	s.configure(c)
+	eventually(t, "the new route is served", func() bool {
+		got, err := g.send(t.Context(), http.MethodGet, "/new/x", "id-1")
+		return err == nil && got.status == http.StatusOK
+	})
+}
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -38,6 +38,15 @@
 	return held.pool
 }
 
+// closePools closes the connections to all leafs for good.
+func (g *Gateway) closePools() {
+	g.connecting.Lock()
+	defer g.connecting.Unlock()
+	for _, p := range g.pools {
+		p.close()
+	}
+}
+
 // idleLimit returns how many connections to a leaf may be idle.
 func (g *Gateway) idleLimit(leaf anvilbalance.Leaf) int {
 	g.balancing.Lock()
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -23,7 +23,7 @@
 // memberName names the node at a peer address. Seeds state addresses only, so
 // that the address is the name that all nodes agree on.
 func memberName(address netip.AddrPort) anvilmodel.VMName {
-	return anvilmodel.VMName(address.Addr().String())
+	return anvilmodel.VMName(address.String())
 }
 
 func (g *Gateway) startMembers() {
--- a/anvilpeer/relayserver.go
+++ b/anvilpeer/relayserver.go
@@ -41,6 +41,9 @@
 // replies in the order in which they come, several in one message when they
 // come faster than the stream takes them.
 func (s *Server) Relay(stream anvilproto.DRPCPeer_RelayStream) error {
+	if s.handlers.Submit == nil {
+		return errNoHandler()
+	}
 	s.streams.Add(1)
 	defer s.streams.Add(-1)
 	o := newRelayOutbox()
--- a/anvilpeer/server.go
+++ b/anvilpeer/server.go
@@ -52,8 +52,8 @@
 	Answer []byte
 }
 
-// Handlers are what a Server calls. They must be safe for concurrent use. A call
-// whose handler is nil is refused.
+// Handlers are what a Server calls. They must be safe for concurrent use. A
+// gateway sets Probe and Published only; calls whose handler is nil are refused.
 type Handlers struct {
 	// Incarnation returns this node's incarnation.
 	Incarnation func() anvilmodel.Incarnation
@@ -136,6 +136,9 @@
 
 // Announce implements the drpc service.
 func (s *Server) Announce(_ context.Context, q *anvilproto.AnnounceRequest) (*anvilproto.AnnounceReply, error) {
+	if s.handlers.Announce == nil {
+		return nil, errNoHandler()
+	}
 	state := s.handlers.Announce(decodeItem(q.GetFrom()), decodeState(q))
 	return &anvilproto.AnnounceReply{
 		Revision:      state.InForce.Version,
@@ -148,6 +151,9 @@
 
 // Fetch implements the drpc service.
 func (s *Server) Fetch(_ context.Context, q *anvilproto.FetchRequest) (*anvilproto.FetchReply, error) {
+	if s.handlers.Manifest == nil || s.handlers.Chunk == nil {
+		return nil, errNoHandler()
+	}
 	if len(q.GetChunks()) == 0 {
 		return encodeManifest(s.handlers.Manifest(q.GetRevision())), nil
 	}
@@ -169,6 +175,9 @@
 
 // Outcome implements the drpc service.
 func (s *Server) Outcome(_ context.Context, q *anvilproto.OutcomeRequest) (*anvilproto.OutcomeReply, error) {
+	if s.handlers.Outcome == nil {
+		return nil, errNoHandler()
+	}
 	outcome := s.handlers.Outcome(decodeTicket(q.GetTicket()))
 	return &anvilproto.OutcomeReply{
 		State:  outcome.State,
@@ -178,6 +187,9 @@
 
 // LeafStates implements the drpc service.
 func (s *Server) LeafStates(_ context.Context, q *anvilproto.LeafStatesRequest) (*anvilproto.LeafStatesReply, error) {
+	if s.handlers.LeafStates == nil {
+		return nil, errNoHandler()
+	}
 	states, version := s.handlers.LeafStates(q.GetAfter())
 	reply := &anvilproto.LeafStatesReply{
 		Version: version,
@@ -192,7 +204,12 @@
 // Published implements the drpc service.
 func (s *Server) Published(_ context.Context, q *anvilproto.PublishedRequest) (*anvilproto.PublishedReply, error) {
 	if s.handlers.Published == nil {
-		return nil, Refused.New("this node keeps no copy of the platform's store")
+		return nil, errNoHandler()
 	}
 	return encodePublished(s.handlers.Published(q.GetPrefix(), q.GetAfter())), nil
 }
+
+// errNoHandler refuses a call that this kind of node does not serve.
+func errNoHandler() error {
+	return Refused.New("this node does not serve the call")
+}
