--- /dev/null
+++ b/anvilgateway/apply.go
@@ -0,0 +1,101 @@
+package anvilgateway
+
+import (
+	"time"
+
+	"anvilbridge/anvilmirror"
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+// applyConfiguration takes changes of the configuration and of the failure
+// domains that are out.
+func (g *Gateway) applyConfiguration(items []anvilmirror.Item, _ bool) {
+	domains := false
+	for _, i := range items {
+		switch g.config.Store.DecodeKey(i.Key).Kind {
+		case ItemConfiguration:
+			if !i.Deleted {
+				g.applyVersion(i)
+			}
+		case ItemDomainOut:
+			domains = true
+		case ItemOther, ItemLeaf:
+		}
+	}
+	if domains {
+		g.applyDomains()
+	}
+}
+
+func (g *Gateway) applyVersion(i anvilmirror.Item) {
+	c, err := g.config.Store.DecodeConfiguration(i.Value)
+	if err != nil {
+		g.config.Log.Error().Str("event", "configuration-refused").Uint64("revision", i.Revision).Err(err).Send()
+		return
+	}
+	held := g.table.Load()
+	if held != nil && c.Version < held.Version() {
+		g.config.Log.Error().Str("event", "configuration-refused").Uint64("revision", i.Revision).
+			Uint64("version", c.Version).Uint64("version-in-force", held.Version()).
+			Str("cause", "older than the one in force").Send()
+		return
+	}
+	table := anvilroute.NewTable(c)
+	g.balancing.Lock()
+	g.balancer.SetServices(table.Services())
+	g.splitter.Reset()
+	g.balancing.Unlock()
+	g.table.Store(table)
+	g.config.Log.Info().Str("event", "configuration-in-force").Uint64("revision", i.Revision).
+		Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Send()
+}
+
+// applyDomains reads all failure domains that are out; the follower's lock is held.
+func (g *Gateway) applyDomains() {
+	var out []anvilmodel.FailureDomain
+	for _, i := range g.configuration.mirror.Items() {
+		if k := g.config.Store.DecodeKey(i.Key); k.Kind == ItemDomainOut {
+			out = append(out, k.Domain)
+		}
+	}
+	g.balancing.Lock()
+	g.balancer.SetOut(out)
+	g.balancing.Unlock()
+	g.config.Log.Info().Str("event", "failure-domains-out").Interface("domains", out).Send()
+}
+
+// applyLeafs takes changes of leafs' entries. An entry that cannot be read names
+// no leaf.
+func (g *Gateway) applyLeafs(items []anvilmirror.Item, lapsed bool) {
+	now := time.Now()
+	g.balancing.Lock()
+	defer g.balancing.Unlock()
+	for _, i := range items {
+		k := g.config.Store.DecodeKey(i.Key)
+		if k.Kind != ItemLeaf {
+			continue
+		}
+		if i.Deleted {
+			grace := time.Duration(0)
+			if lapsed {
+				grace = lapseGrace
+			}
+			g.balancer.RemoveLeaf(k.Leaf, now, grace)
+			g.config.Log.Info().Str("event", "leaf-removed").Str("leaf", string(k.Leaf)).
+				Uint64("revision", i.Revision).Dur("grace-ms", grace).Send()
+			continue
+		}
+		l, err := g.config.Store.DecodeLeaf(i.Key, i.Value)
+		if err != nil {
+			g.balancer.RemoveLeaf(k.Leaf, now, 0)
+			g.config.Log.Warn().Str("event", "leaf-entry-unreadable").Str("leaf", string(k.Leaf)).
+				Uint64("revision", i.Revision).Err(err).Send()
+			continue
+		}
+		g.balancer.SetLeaf(l, now)
+		g.config.Log.Info().Str("event", "leaf-entry").Str("leaf", string(l.ID)).Str("service", string(l.Service)).
+			Stringer("address", l.Address).Bool("draining", l.Draining).Dur("cold-for-ms", l.ColdFor).
+			Uint64("revision", i.Revision).Send()
+	}
+}
--- a/anvilgateway/errors.go
+++ b/anvilgateway/errors.go
@@ -16,6 +16,4 @@
 	Unsigned = Errors.NewType("unsigned")
 	// TooLarge means that a body is longer than accepted.
 	TooLarge = Errors.NewType("too_large")
-	// NoPeer means that no other gateway could be asked.
-	NoPeer = Errors.NewType("no_peer")
 )
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -242,9 +242,9 @@
 			Balance: anvilbalance.Config{
 				RetrySlack: 50,
 			},
-			Seed:            seed,
-			Log:             zerolog.Nop(),
-			Metrics:         metrics,
+			Seed:    seed,
+			Log:     zerolog.Nop(),
+			Metrics: metrics,
 		}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/anvilgateway/follow.go
+++ b/anvilgateway/follow.go
@@ -11,11 +11,11 @@
 	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
-	"anvilbridge/anvilroute"
+	"anvilbridge/anvilpeer"
 )
 
 const (
-	// watchWait is how long a watch waits for a change.
+	// watchWait is how long a watch of the store waits for a change.
 	watchWait = 10 * time.Second
 	// watchPause is the time between two watches, so that changes in quick
 	// succession are read together. Changes are due in force within seconds.
@@ -23,7 +23,7 @@
 	// verifyPeriod is the time between two reads that check whether the watches have
 	// missed a change: a store that drops its history may keep them silent for
 	// seconds, and changes are due in force within 3 s.
-	verifyPeriod = 1900 * time.Millisecond
+	verifyPeriod = time.Second
 	// verifyDelay is how long a watch may take to deliver a change.
 	verifyDelay = 150 * time.Millisecond
 	// readTimeout bounds a read of all items, with its pages.
@@ -32,19 +32,26 @@
 	// does not answer.
 	firstRetry   = 50 * time.Millisecond
 	longestRetry = time.Second
-	// peerDelay is how long the store may be away before other nodes are asked,
-	// peerPeriod the time between two questions.
-	peerDelay  = 200 * time.Millisecond
-	peerPeriod = 400 * time.Millisecond
-	// behindDelay is how long this node may lack a revision that another one has.
-	behindDelay = 500 * time.Millisecond
+	// relayWait is how long a question to another node waits for a change. The
+	// answer also says how long ago the store was heard, which has to be known well
+	// within the time in which changes are due.
+	relayWait = 700 * time.Millisecond
+	// relayTimeout bounds such a question.
+	relayTimeout = relayWait + 400*time.Millisecond
+	// staleAge is the age from which another node's copy is not relied on: the store
+	// was due to confirm it once a verifyPeriod.
+	staleAge = 1500 * time.Millisecond
+	// directTime is how long a node reads the store itself after no other node could
+	// be relied on.
+	directTime = 5 * time.Second
 	// lapseGrace is how long leafs whose entries lapsed while the store was away are
 	// still used after its return: the platform says that entries of live leafs are
 	// back within about 2 s.
 	lapseGrace = 2200 * time.Millisecond
 )
 
-// follower keeps a mirror of one prefix up to date.
+// follower keeps a mirror of one prefix up to date: from the store if this node
+// is one of its readers, else from another node.
 type follower struct {
 	gateway *Gateway
 	prefix  string
@@ -53,20 +60,26 @@
 
 	mu     sync.Mutex
 	mirror *anvilmirror.Mirror
+	// changed is closed and replaced when the mirror has changed.
+	changed chan struct{}
+	// confirmed is when the store last said that nothing is missing.
+	confirmed time.Time
 	// awaySince is when the store was lost, zero while it answers; returned is when
 	// it answered again.
 	awaySince time.Time
 	returned  time.Time
-	// behind is when another node was first heard to have a later revision.
-	behind time.Time
+	// directUntil makes the node read the store itself.
+	directUntil time.Time
 }
 
 func newFollower(g *Gateway, prefix string, apply func([]anvilmirror.Item, bool)) *follower {
 	return &follower{
-		gateway: g,
-		prefix:  prefix,
-		apply:   apply,
-		mirror:  anvilmirror.New(),
+		gateway:   g,
+		prefix:    prefix,
+		apply:     apply,
+		mirror:    anvilmirror.New(),
+		changed:   make(chan struct{}),
+		awaySince: time.Now(),
 	}
 }
 
@@ -83,33 +96,83 @@
 	return f.mirror.Latest()
 }
 
-func (f *follower) since(after uint64) anvilmirror.Changes {
+// after returns the revision from which changes are missing, 0 if all are.
+func (f *follower) after() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.mirror.Since(after)
+	if !f.mirror.Loaded() {
+		return 0
+	}
+	return f.mirror.Revision()
+}
+
+// since answers another node; it waits for a change if there is none.
+func (f *follower) since(ctx context.Context, after uint64, wait time.Duration) anvilpeer.Published {
+	timer := time.NewTimer(min(wait, relayWait))
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		p := anvilpeer.Published{
+			Changes: f.mirror.Since(after),
+			Age:     -1,
+		}
+		if !f.confirmed.IsZero() {
+			p.Age = time.Since(f.confirmed)
+		}
+		changed := f.changed
+		f.mu.Unlock()
+		if len(p.Items) > 0 || wait <= 0 {
+			return p
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			return p
+		}
+	}
 }
 
-// take applies changes from the store or another node and reports whether there
-// were any.
-func (f *follower) take(c anvilmirror.Changes) bool {
+// take applies changes that were confirmed by the store the age ago, and reports
+// whether there were any.
+func (f *follower) take(c anvilmirror.Changes, age time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	lapsed := !f.awaySince.IsZero() || time.Since(f.returned) < lapseGrace
+	now := time.Now()
+	if at := now.Add(-age); age >= 0 && at.After(f.confirmed) {
+		f.confirmed = at
+	}
+	lapsed := !f.awaySince.IsZero() || now.Sub(f.returned) < lapseGrace
 	fresh := f.mirror.Apply(c)
 	if len(fresh) > 0 {
 		f.apply(fresh, lapsed)
+		close(f.changed)
+		f.changed = make(chan struct{})
 	}
 	return len(fresh) > 0
 }
 
-// run follows the store until the process ends.
+// direct reports whether this node reads the store itself.
+func (f *follower) direct(now time.Time) bool {
+	f.mu.Lock()
+	forced := now.Before(f.directUntil)
+	f.mu.Unlock()
+	return forced || f.gateway.readsStore()
+}
+
+// run follows the store or another node until the process ends.
 func (f *follower) run() {
 	ctx := f.gateway.background
-	f.lost(time.Now(), nil)
-	f.gateway.goRun(f.askPeers)
 	retry := firstRetry
 	whole := true
 	for ctx.Err() == nil {
+		if f.loaded() && !f.direct(time.Now()) {
+			// The mirror may miss changes by the time this node reads the store again.
+			whole = true
+			f.readPeer(ctx)
+			continue
+		}
 		err := f.readStore(ctx, &whole)
 		if err == nil {
 			f.found()
@@ -126,6 +189,8 @@
 			return
 		}
 		f.lost(time.Now(), err)
+		// Another node may reach the store although this one does not.
+		f.readPeer(ctx)
 		pause(ctx, retry/2+rand.N(retry))
 		retry = min(retry*2, longestRetry)
 	}
@@ -143,67 +208,82 @@
 		c, err = store.ReadAll(limited, f.prefix)
 		cancel()
 	} else {
-		f.mu.Lock()
-		after := f.mirror.Revision()
-		f.mu.Unlock()
-		c, err = store.Watch(ctx, f.prefix, after, f.wait())
+		c, err = store.Watch(ctx, f.prefix, f.after(), f.wait())
 	}
 	f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, kind, outcomeLabel(err == nil))
 	if err != nil {
 		return err
 	}
+	if *whole {
+		f.take(c, 0)
+	} else {
+		// A watch that returns does not confirm that it has missed nothing.
+		f.take(c, -1)
+	}
 	*whole = false
-	f.take(c)
 	return nil
 }
 
+// wait returns how long a watch waits: not at all after a failure, so that the
+// store's return is noticed.
+func (f *follower) wait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.awaySince.IsZero() {
+		return 0
+	}
+	return watchWait
+}
+
 // verify reads the configuration's items from time to time, and the leafs' if the
 // store is at a revision that neither watch has delivered.
 func (g *Gateway) verify() {
 	for g.background.Err() == nil {
 		pause(g.background, verifyPeriod)
-		if !g.configuration.loaded() {
+		if !g.configuration.loaded() || !g.configuration.direct(time.Now()) {
 			continue
 		}
 		known := max(g.configuration.latest(), g.leafs.latest())
-		revision, missed := g.configuration.check()
-		if revision <= known && !missed {
+		revision, missed, err := g.configuration.check()
+		if err != nil {
 			continue
 		}
-		pause(g.background, verifyDelay)
-		if missed || revision > max(g.configuration.latest(), g.leafs.latest()) {
-			g.leafs.check()
+		if revision > known || missed {
+			pause(g.background, verifyDelay)
+			known = max(g.configuration.latest(), g.leafs.latest())
+		}
+		if missed || revision > known {
+			// The check logs its own failure; the leafs are then not confirmed.
+			_, _, _ = g.leafs.check()
+			continue
 		}
+		g.leafs.confirm()
 	}
 }
 
 // check reads all items and returns the store's revision, and whether the watch
 // had missed a change.
-func (f *follower) check() (revision uint64, missed bool) {
+func (f *follower) check() (revision uint64, missed bool, err error) {
 	ctx, cancel := context.WithTimeout(f.gateway.background, readTimeout)
 	defer cancel()
 	c, err := f.gateway.config.Store.ReadAll(ctx, f.prefix)
 	f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, "verify", outcomeLabel(err == nil))
 	if err != nil {
 		f.gateway.config.Log.Debug().Str("event", "store-verify-failed").Str("prefix", f.prefix).Err(err).Send()
-		return 0, false
+		return 0, false, err
 	}
-	if missed = f.take(c); missed {
+	if missed = f.take(c, 0); missed {
 		f.gateway.config.Log.Info().Str("event", "watch-was-behind").Str("prefix", f.prefix).
 			Uint64("revision", c.Revision).Send()
 	}
-	return c.Revision, missed
+	return c.Revision, missed, nil
 }
 
-// wait returns how long a watch waits: not at all after a failure, so that the
-// store's return is noticed.
-func (f *follower) wait() time.Duration {
+// confirm notes that the store has no change that is not held.
+func (f *follower) confirm() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.awaySince.IsZero() {
-		return 0
-	}
-	return watchWait
+	f.confirmed = time.Now()
 }
 
 func (f *follower) lost(now time.Time, err error) {
@@ -213,10 +293,8 @@
 		return
 	}
 	f.awaySince = now
-	if err != nil {
-		f.gateway.config.Log.Warn().Str("event", "store-lost").Str("prefix", f.prefix).
-			Uint64("revision", f.mirror.Revision()).Err(err).Send()
-	}
+	f.gateway.config.Log.Warn().Str("event", "store-lost").Str("prefix", f.prefix).
+		Uint64("revision", f.mirror.Revision()).Err(err).Send()
 }
 
 func (f *follower) found() {
@@ -231,42 +309,31 @@
 	f.returned = time.Now()
 }
 
-// heard notes the revision that another node says it has.
-func (f *follower) heard(revision uint64, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case revision <= f.mirror.Revision():
-		f.behind = time.Time{}
-	case f.behind.IsZero():
-		f.behind = now
-	}
-}
-
-// askPeers reads from other nodes while the store is away or this node lacks a
-// revision that others have: its watch may have gone silent.
-func (f *follower) askPeers() {
-	for f.gateway.background.Err() == nil {
-		pause(f.gateway.background, peerPeriod/2+rand.N(peerPeriod))
-		now := time.Now()
-		f.mu.Lock()
-		away := !f.awaySince.IsZero() && now.Sub(f.awaySince) > peerDelay
-		behind := !f.behind.IsZero() && now.Sub(f.behind) > behindDelay
-		after := f.mirror.Revision()
-		if !f.mirror.Loaded() {
-			after = 0
-		}
-		f.mu.Unlock()
-		if !away && !behind {
-			continue
-		}
-		c, err := f.gateway.askPublished(f.prefix, after)
+// readPeer takes what another node has over. If none can be relied on, this node
+// reads the store itself for a while.
+func (f *follower) readPeer(ctx context.Context) {
+	for _, m := range f.gateway.storeReaders() {
+		limited, cancel := context.WithTimeout(ctx, relayTimeout)
+		p, err := f.gateway.peers.Published(limited, m.PeerAddress, f.prefix, f.after(), relayWait)
+		cancel()
 		f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, "peer", outcomeLabel(err == nil))
 		if err != nil {
-			f.gateway.config.Log.Debug().Str("event", "peer-read-failed").Str("prefix", f.prefix).Err(err).Send()
+			f.gateway.config.Log.Debug().Str("event", "peer-read-failed").Str("prefix", f.prefix).
+				Str("member", string(m.Name)).Err(err).Send()
 			continue
 		}
-		f.take(c)
+		f.take(p.Changes, p.Age)
+		if p.Age >= 0 && p.Age < staleAge {
+			f.found()
+			return
+		}
+	}
+	if ctx.Err() == nil && !f.gateway.readsStore() {
+		f.mu.Lock()
+		f.directUntil = time.Now().Add(directTime)
+		f.mu.Unlock()
+		f.gateway.config.Log.Info().Str("event", "reads-store-itself").Str("prefix", f.prefix).
+			Str("cause", "no other node has a fresh copy").Send()
 	}
 }
 
@@ -279,94 +346,20 @@
 	}
 }
 
-// applyConfiguration takes changes of the configuration and of the failure
-// domains that are out.
-func (g *Gateway) applyConfiguration(items []anvilmirror.Item, _ bool) {
-	domains := false
-	for _, i := range items {
-		switch g.config.Store.DecodeKey(i.Key).Kind {
-		case ItemConfiguration:
-			if !i.Deleted {
-				g.applyVersion(i)
-			}
-		case ItemDomainOut:
-			domains = true
-		case ItemOther, ItemLeaf:
-		}
-	}
-	if domains {
-		g.applyDomains()
-	}
-}
+// storeReaderCount is the number of nodes that read the store for all. Its rates
+// do not grow with the fleet; two of them stand in for each other.
+const storeReaderCount = 2
 
-func (g *Gateway) applyVersion(i anvilmirror.Item) {
-	c, err := g.config.Store.DecodeConfiguration(i.Value)
-	if err != nil {
-		g.config.Log.Error().Str("event", "configuration-refused").Uint64("revision", i.Revision).Err(err).Send()
-		return
-	}
-	held := g.table.Load()
-	if held != nil && c.Version < held.Version() {
-		g.config.Log.Error().Str("event", "configuration-refused").Uint64("revision", i.Revision).
-			Uint64("version", c.Version).Uint64("version-in-force", held.Version()).
-			Str("cause", "older than the one in force").Send()
-		return
-	}
-	table := anvilroute.NewTable(c)
-	g.balancing.Lock()
-	g.balancer.SetServices(table.Services())
-	g.splitter.Reset()
-	g.balancing.Unlock()
-	g.table.Store(table)
-	g.config.Log.Info().Str("event", "configuration-in-force").Uint64("revision", i.Revision).
-		Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Send()
+// storeReaders returns the other nodes to follow: those that read the store.
+func (g *Gateway) storeReaders() []anvilmodel.Member {
+	g.control.Lock()
+	defer g.control.Unlock()
+	return anvilmirror.Readers(g.members.Members()[1:], storeReaderCount)
 }
 
-// applyDomains reads all failure domains that are out; the follower's lock is held.
-func (g *Gateway) applyDomains() {
-	var out []anvilmodel.FailureDomain
-	for _, i := range g.configuration.mirror.Items() {
-		if k := g.config.Store.DecodeKey(i.Key); k.Kind == ItemDomainOut {
-			out = append(out, k.Domain)
-		}
-	}
-	g.balancing.Lock()
-	g.balancer.SetOut(out)
-	g.balancing.Unlock()
-	g.config.Log.Info().Str("event", "failure-domains-out").Interface("domains", out).Send()
-}
-
-// applyLeafs takes changes of leafs' entries. An entry that cannot be read names
-// no leaf.
-func (g *Gateway) applyLeafs(items []anvilmirror.Item, lapsed bool) {
-	now := time.Now()
-	g.balancing.Lock()
-	defer g.balancing.Unlock()
-	for _, i := range items {
-		k := g.config.Store.DecodeKey(i.Key)
-		if k.Kind != ItemLeaf {
-			continue
-		}
-		if i.Deleted {
-			grace := time.Duration(0)
-			if lapsed {
-				grace = lapseGrace
-			}
-			g.balancer.RemoveLeaf(k.Leaf, now, grace)
-			g.config.Log.Info().Str("event", "leaf-removed").Str("leaf", string(k.Leaf)).
-				Uint64("revision", i.Revision).Dur("grace-ms", grace).Send()
-			continue
-		}
-		l, err := g.config.Store.DecodeLeaf(i.Key, i.Value)
-		if err != nil {
-			g.balancer.RemoveLeaf(k.Leaf, now, 0)
-			g.config.Log.Warn().Str("event", "leaf-entry-unreadable").Str("leaf", string(k.Leaf)).
-				Uint64("revision", i.Revision).Err(err).Send()
-			continue
-		}
-		g.balancer.SetLeaf(l, now)
-		g.config.Log.Info().Str("event", "leaf-entry").Str("leaf", string(l.ID)).Str("service", string(l.Service)).
-			Stringer("address", l.Address).Bool("draining", l.Draining).Dur("cold-for-ms", l.ColdFor).
-			Uint64("revision", i.Revision).Send()
-	}
+// readsStore reports whether this node is one of the readers.
+func (g *Gateway) readsStore() bool {
+	g.control.Lock()
+	defer g.control.Unlock()
+	return anvilmirror.IsReader(g.members.Members(), storeReaderCount)
 }
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -76,8 +76,8 @@
 
 	hedgeDelay time.Duration
 	request    *anvilgather.Request
-	replies chan callEnd
-	started []*leafCall
+	replies    chan callEnd
+	started    []*leafCall
 	// good are the replies of the parts that are in.
 	good []*reply
 	// failure is the last reply of a leaf that failed.
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -7,13 +7,12 @@
 	"time"
 
 	"anvilbridge/anvilmember"
-	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
 )
 
 const (
-	// peerTimeout bounds a question to another node.
+	// peerTimeout bounds opening a connection to another node.
 	peerTimeout = time.Second
 	// fleetMemory is how long the largest fleet seen divides the bounds on leafs: a
 	// node that is cut off must not take the shares of the others over at once.
@@ -63,14 +62,16 @@
 func (g *Gateway) peerHandlers() anvilpeer.Handlers {
 	return anvilpeer.Handlers{
 		Probe: g.answerProbe,
-		Published: func(prefix string, after uint64) anvilmirror.Changes {
+		Published: func(ctx context.Context, prefix string, after uint64, wait time.Duration) anvilpeer.Published {
 			switch prefix {
 			case g.configuration.prefix:
-				return g.configuration.since(after)
+				return g.configuration.since(ctx, after, wait)
 			case g.leafs.prefix:
-				return g.leafs.since(after)
+				return g.leafs.since(ctx, after, wait)
 			default:
-				return anvilmirror.Changes{}
+				return anvilpeer.Published{
+					Age: -1,
+				}
 			}
 		},
 	}
@@ -143,9 +144,6 @@
 		}
 		m.HandleReply(p.ID, reply, now, a)
 	})
-	if err == nil {
-		g.heardRevision(reply.From.Member.Revision)
-	}
 }
 
 // answerProbe hands a probe of another node to the membership and waits for
@@ -159,7 +157,6 @@
 		g.answers[token] = answer
 		m.HandleProbe(token, q, now, a)
 	})
-	g.heardRevision(q.From.Member.Revision)
 	select {
 	case a := <-answer:
 		return a.Reply, !a.Refused
@@ -172,51 +169,6 @@
 	return anvilmember.ProbeReply{}, false
 }
 
-// heardRevision notes the latest revision that another node has of any prefix.
-func (g *Gateway) heardRevision(revision uint64) {
-	now := time.Now()
-	latest := max(g.configuration.latest(), g.leafs.latest())
-	if revision <= latest {
-		revision = 0
-	}
-	g.configuration.heard(revision, now)
-	g.leafs.heard(revision, now)
-}
-
-// askPublished reads another node's copy of a prefix.
-func (g *Gateway) askPublished(prefix string, after uint64) (anvilmirror.Changes, error) {
-	address, ok := g.otherMember()
-	if !ok {
-		return anvilmirror.Changes{}, NoPeer.New("no other node is known to be alive")
-	}
-	ctx, cancel := context.WithTimeout(g.background, peerTimeout)
-	defer cancel()
-	return g.peers.Published(ctx, address, prefix, after)
-}
-
-// otherMember returns the peer address of another node, preferring those that
-// have the latest revision.
-func (g *Gateway) otherMember() (netip.AddrPort, bool) {
-	g.control.Lock()
-	defer g.control.Unlock()
-	var best []anvilmodel.Member
-	for _, m := range g.members.Members()[1:] {
-		if m.Status == anvilmodel.MemberDead || !m.PeerAddress.IsValid() {
-			continue
-		}
-		if len(best) > 0 && m.Revision > best[0].Revision {
-			best = best[:0]
-		}
-		if len(best) == 0 || m.Revision == best[0].Revision {
-			best = append(best, m)
-		}
-	}
-	if len(best) == 0 {
-		return netip.AddrPort{}, false
-	}
-	return best[g.random.IntN(len(best))].PeerAddress, true
-}
-
 // followFleet tells the balancer how many nodes share the bounds on leafs.
 func (g *Gateway) followFleet(now time.Time) {
 	count := 0
--- /dev/null
+++ b/anvilmirror/reader.go
@@ -0,0 +1,43 @@
+package anvilmirror
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"anvilbridge/anvilmodel"
+)
+
+// Readers returns the members, at most count, that read the platform's store for
+// all: the first of those alive by the hash of their names. Nodes with the same
+// view agree without exchanging anything; those with different views agree on
+// most.
+func Readers(members []anvilmodel.Member, count int) []anvilmodel.Member {
+	usable := make([]anvilmodel.Member, 0, len(members))
+	for _, m := range members {
+		if m.Status == anvilmodel.MemberAlive && m.Serving && m.PeerAddress.IsValid() {
+			usable = append(usable, m)
+		}
+	}
+	slices.SortFunc(usable, func(a, b anvilmodel.Member) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.Name)), xxhash.Sum64String(string(b.Name)))
+	})
+	return usable[:min(count, len(usable))]
+}
+
+// IsReader reports whether the first member is one of the readers. It is while
+// too few others are usable, and while it is not in service itself.
+func IsReader(members []anvilmodel.Member, count int) bool {
+	if len(members) == 0 {
+		return true
+	}
+	self := members[0]
+	others := Readers(members[1:], count)
+	if len(others) < count {
+		return true
+	}
+	last := others[count-1]
+	return self.Status == anvilmodel.MemberAlive &&
+		xxhash.Sum64String(string(self.Name)) < xxhash.Sum64String(string(last.Name))
+}
--- a/anvilpeer/client.go
+++ b/anvilpeer/client.go
@@ -12,7 +12,6 @@
 	"storj.io/drpc/drpcpool"
 
 	"anvilbridge/anvilmember"
-	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilproto"
 	"anvilbridge/anvilrevision"
@@ -195,16 +194,17 @@
 }
 
 // Published asks for a node's copy of a prefix of the platform's store, as far as
-// it changed after a revision. It returns Unreachable.
-func (c *Client) Published(ctx context.Context, address netip.AddrPort, prefix string, after uint64) (anvilmirror.Changes, error) {
+// it changed after a revision, and waits for a change. It returns Unreachable.
+func (c *Client) Published(ctx context.Context, address netip.AddrPort, prefix string, after uint64, wait time.Duration) (Published, error) {
 	request := &anvilproto.PublishedRequest{
-		Prefix: prefix,
-		After:  after,
+		Prefix:     prefix,
+		After:      after,
+		WaitMicros: wait.Microseconds(),
 	}
 	c.count("published", request)
 	reply, err := c.peer(ctx, address).Published(ctx, request)
 	if err != nil {
-		return anvilmirror.Changes{}, Unreachable.Wrap(err, "reading the published items at %s", address)
+		return Published{}, Unreachable.Wrap(err, "reading the published items at %s", address)
 	}
 	return decodePublished(reply), nil
 }
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -1,15 +1,26 @@
 package anvilpeer
 
 import (
+	"time"
+
 	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilproto"
 )
 
-func encodePublished(c anvilmirror.Changes) *anvilproto.PublishedReply {
+// Published is a node's copy of a prefix of the platform's store.
+type Published struct {
+	anvilmirror.Changes
+	// Age is the time since the store last confirmed that nothing is missing;
+	// negative if it never has.
+	Age time.Duration
+}
+
+func encodePublished(c Published) *anvilproto.PublishedReply {
 	reply := &anvilproto.PublishedReply{
-		Revision: c.Revision,
-		Complete: c.Complete,
-		Items:    make([]*anvilproto.PublishedItem, 0, len(c.Items)),
+		Revision:  c.Revision,
+		Complete:  c.Complete,
+		Items:     make([]*anvilproto.PublishedItem, 0, len(c.Items)),
+		AgeMicros: c.Age.Microseconds(),
 	}
 	for _, i := range c.Items {
 		reply.Items = append(reply.Items, &anvilproto.PublishedItem{
@@ -22,11 +33,14 @@
 	return reply
 }
 
-func decodePublished(reply *anvilproto.PublishedReply) anvilmirror.Changes {
-	c := anvilmirror.Changes{
-		Revision: reply.GetRevision(),
-		Complete: reply.GetComplete(),
-		Items:    make([]anvilmirror.Item, 0, len(reply.GetItems())),
+func decodePublished(reply *anvilproto.PublishedReply) Published {
+	c := Published{
+		Changes: anvilmirror.Changes{
+			Revision: reply.GetRevision(),
+			Complete: reply.GetComplete(),
+			Items:    make([]anvilmirror.Item, 0, len(reply.GetItems())),
+		},
+		Age: time.Duration(reply.GetAgeMicros()) * time.Microsecond,
 	}
 	for _, i := range reply.GetItems() {
 		c.Items = append(c.Items, anvilmirror.Item{
--- a/anvilpeer/server.go
+++ b/anvilpeer/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"storj.io/drpc/drpcmanager"
@@ -14,7 +15,6 @@
 	"storj.io/drpc/drpcwire"
 
 	"anvilbridge/anvilmember"
-	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilproto"
 	"anvilbridge/anvilrevision"
@@ -74,8 +74,8 @@
 	// version now.
 	LeafStates func(after uint64) ([]anvilmodel.LeafState, uint64)
 	// Published returns this node's copy of a prefix of the platform's store, as
-	// far as it changed after a revision.
-	Published func(prefix string, after uint64) anvilmirror.Changes
+	// far as it changed after a revision. It waits for a change if there is none.
+	Published func(ctx context.Context, prefix string, after uint64, wait time.Duration) Published
 }
 
 // Server answers other nodes.
@@ -202,11 +202,11 @@
 }
 
 // Published implements the drpc service.
-func (s *Server) Published(_ context.Context, q *anvilproto.PublishedRequest) (*anvilproto.PublishedReply, error) {
+func (s *Server) Published(ctx context.Context, q *anvilproto.PublishedRequest) (*anvilproto.PublishedReply, error) {
 	if s.handlers.Published == nil {
 		return nil, errNoHandler()
 	}
-	return encodePublished(s.handlers.Published(q.GetPrefix(), q.GetAfter())), nil
+	return encodePublished(s.handlers.Published(ctx, q.GetPrefix(), q.GetAfter(), time.Duration(q.GetWaitMicros())*time.Microsecond)), nil
 }
 
 // errNoHandler refuses a call that this kind of node does not serve.
