Time answers from the caller's start

Cause: a caller that opens a connection has spent 6 to 15 ms of its target before its request arrives; it states the time left. Answers with missing shards were sent 9 ms before a target counted from the arrival and came late.

--- a/anvilgateway/apply.go
+++ b/anvilgateway/apply.go
@@ -45,6 +45,11 @@
 	g.balancing.Lock()
 	g.balancer.SetServices(table.Services())
 	g.splitter.Reset()
+	for name := range g.clocks {
+		if !table.Has(name) {
+			delete(g.clocks, name)
+		}
+	}
 	g.balancing.Unlock()
 	g.table.Store(table)
 	g.config.Log.Info().Str("event", "configuration-in-force").Uint64("revision", i.Revision).
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -73,6 +73,11 @@
 	version uint64
 	out     *outbound
 	timeout time.Duration
+	// stated is the time left that the caller states; elapsed and transit are
+	// worked out from it.
+	stated  time.Duration
+	elapsed time.Duration
+	transit time.Duration
 
 	hedgeDelay time.Duration
 	request    *anvilgather.Request
@@ -119,6 +124,7 @@
 	if refused != nil {
 		return refused
 	}
+	s.stated = head.Timeout
 	s.timeout = s.route.Timeout
 	if head.Timeout > 0 && (head.Timeout < s.timeout || s.timeout <= 0) {
 		s.timeout = head.Timeout
@@ -163,11 +169,12 @@
 	services := s.services()
 	// Calls outlive the request for a moment, unless the caller leaves.
 	calls, abandon := context.WithCancel(g.background)
-	s.hedgeDelay = g.hedgeDelay(s.route)
 	s.request = anvilgather.New(anvilgather.Config{
 		Route:      s.route,
 		Services:   services,
 		Arrived:    s.arrived,
+		Elapsed:    s.elapsed,
+		Transit:    s.transit,
 		Timeout:    s.timeout,
 		HedgeDelay: s.hedgeDelay,
 		Available: func(name anvilmodel.ServiceName, now time.Time) bool {
@@ -203,7 +210,8 @@
 	s.logEnd(finish)
 }
 
-// services returns the services of the request and counts it for each.
+// services returns the services of the request, counts it for each and reads what
+// else is known of the route.
 func (s *served) services() []anvilmodel.ServiceName {
 	g := s.gateway
 	now := time.Now()
@@ -216,6 +224,13 @@
 	for _, name := range services {
 		g.balancer.CountRequest(name, now)
 	}
+	s.hedgeDelay = g.balancer.HedgeDelay(s.route.Name, s.route.Target)
+	clock := g.clocks[s.route.Name]
+	if clock == nil {
+		clock = &anvilgather.CallerClock{}
+		g.clocks[s.route.Name] = clock
+	}
+	s.elapsed, s.transit = clock.Observe(s.stated, now)
 	return services
 }
 
@@ -383,7 +398,7 @@
 	line := g.config.Log.Info().Str("event", "request").Str("request", s.id).
 		Str("route", string(s.route.Name)).Uint64("version", s.version).
 		Str("outcome", outcome).Str("cause", cause).Dur("elapsed-ms", elapsed).
-		Dur("timeout-ms", s.timeout).Int("parts", len(s.good)).Int("hedges", hedges).Int("retries", retries).Dur("hedge-delay-ms", s.hedgeDelay)
+		Dur("timeout-ms", s.timeout).Dur("elapsed-before-ms", s.elapsed).Dur("transit-ms", s.transit).Int("parts", len(s.good)).Int("hedges", hedges).Int("retries", retries).Dur("hedge-delay-ms", s.hedgeDelay)
 	if missing := s.request.Missing(); len(missing) > 0 {
 		line.Str("missing", describeMissing(missing))
 	}
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilgather"
 	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmodel"
@@ -45,10 +46,11 @@
 
 	table atomic.Pointer[anvilroute.Table]
 
-	// balancing guards balancer and splitter.
+	// balancing guards balancer, splitter and clocks.
 	balancing sync.Mutex
 	balancer  *anvilbalance.Balancer
 	splitter  *anvilroute.Splitter
+	clocks    map[anvilroute.Name]*anvilgather.CallerClock
 
 	connecting sync.Mutex
 	pools      map[anvilmodel.LeafName]*leafPool
@@ -91,6 +93,7 @@
 		background: background,
 		stop:       stop,
 		splitter:   anvilroute.NewSplitter(),
+		clocks:     make(map[anvilroute.Name]*anvilgather.CallerClock),
 		pools:      make(map[anvilmodel.LeafName]*leafPool),
 		dialer:     newDialer(dialTimeout),
 		answers:    make(map[uint64]chan anvilmember.Answer),
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -8,7 +8,6 @@
 	"anvilbridge/anvilbalance"
 	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmodel"
-	"anvilbridge/anvilroute"
 )
 
 const (
@@ -176,10 +175,3 @@
 			Dur("elapsed-ms", r.Elapsed).Send()
 	}
 }
-
-// hedgeDelay returns when calls of a route are overdue.
-func (g *Gateway) hedgeDelay(route *anvilroute.Route) time.Duration {
-	g.balancing.Lock()
-	defer g.balancing.Unlock()
-	return g.balancer.HedgeDelay(route.Name, route.Target)
-}
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -11,9 +11,9 @@
 
 const (
 	// shortestReserve and reserveShare say how long before its target a request is
-	// answered, for the way back and for work that waits on a busy node.
-	shortestReserve = 9 * time.Millisecond
-	reserveShare    = 0.06
+	// answered beside the time of the way, for work that waits on a busy node.
+	shortestReserve = 5 * time.Millisecond
+	reserveShare    = 0.04
 	// limitReserve is the same for the end of the request's time.
 	limitReserve = 15 * time.Millisecond
 	// busyDelay is the time after which a leaf is looked for again when all were at
@@ -35,6 +35,10 @@
 	// or the shards of the route.
 	Services []anvilmodel.ServiceName
 	Arrived  time.Time
+	// Elapsed is how much of the target had passed at the caller on arrival.
+	Elapsed time.Duration
+	// Transit is the time of the way here and back.
+	Transit time.Duration
 	// Timeout is the time that the caller will wait, at most the route's.
 	Timeout time.Duration
 	// HedgeDelay is the time after which a call is overdue.
@@ -94,7 +98,7 @@
 		r.need = max(1, int(math.Ceil(c.Route.MinCoverage*float64(len(c.Services))-coverageSlack)))
 	}
 	reserve := max(shortestReserve, time.Duration(reserveShare*float64(c.Route.Target)))
-	r.answerAt = c.Arrived.Add(c.Route.Target - reserve)
+	r.answerAt = c.Arrived.Add(c.Route.Target - c.Elapsed - c.Transit - reserve)
 	r.limit = c.Arrived.Add(c.Timeout - min(limitReserve, c.Timeout/10))
 	return r
 }
--- a/anvilroute/route.go
+++ b/anvilroute/route.go
@@ -87,6 +87,7 @@
 	byHost   map[string][]*Route
 	services map[anvilmodel.ServiceName]Service
 	sharded  map[anvilmodel.ServiceName]bool
+	names    map[Name]bool
 }
 
 // NewTable indexes a configuration.
@@ -97,11 +98,13 @@
 		byHost:   make(map[string][]*Route),
 		services: make(map[anvilmodel.ServiceName]Service, len(c.Services)),
 		sharded:  make(map[anvilmodel.ServiceName]bool),
+		names:    make(map[Name]bool, len(c.Routes)),
 	}
 	for i := range c.Routes {
 		r := c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], &r)
+		t.names[r.Name] = true
 		for _, s := range r.Shards {
 			t.sharded[s] = true
 		}
@@ -133,6 +136,11 @@
 	return t.services
 }
 
+// Has reports whether the configuration has the route.
+func (t *Table) Has(name Name) bool {
+	return t.names[name]
+}
+
 // Sharded returns the services that are shards of a route.
 func (t *Table) Sharded() map[anvilmodel.ServiceName]bool {
 	return t.sharded
