--- /dev/null
+++ b/anviladdress/focus.go
@@ -0,0 +1,54 @@
+package anviladdress
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"anvilbridge/anvilmodel"
+)
+
+// Focus returns the members, at most count, that callers are sent to. In a large
+// fleet a node that gets few requests has no warm connection to most leafs and
+// knows little of their latencies. The members are spread evenly over failure
+// domains; within one the hash of the name decides, so that nodes with the same
+// view agree. Suspects are taken only if there are too few others.
+func Focus(members []anvilmodel.Member, count int) []anvilmodel.Member {
+	alive := make(map[anvilmodel.FailureDomain][]anvilmodel.Member)
+	var suspects []anvilmodel.Member
+	for _, m := range members {
+		switch {
+		case !namable(&m, nil):
+		case m.Status == anvilmodel.MemberSuspect:
+			suspects = append(suspects, m)
+		default:
+			alive[m.FailureDomain] = append(alive[m.FailureDomain], m)
+		}
+	}
+	domains := make([]anvilmodel.FailureDomain, 0, len(alive))
+	for d, in := range alive {
+		domains = append(domains, d)
+		slices.SortFunc(in, byHash)
+	}
+	slices.Sort(domains)
+	var chosen []anvilmodel.Member
+	for round := 0; len(chosen) < count; round++ {
+		found := false
+		for _, d := range domains {
+			if round < len(alive[d]) && len(chosen) < count {
+				chosen = append(chosen, alive[d][round])
+				found = true
+			}
+		}
+		if !found {
+			break
+		}
+	}
+	slices.SortFunc(suspects, byHash)
+	return append(chosen, suspects[:min(len(suspects), count-len(chosen))]...)
+}
+
+func byHash(a, b anvilmodel.Member) int {
+	return cmp.Compare(xxhash.Sum64String(string(a.Name)), xxhash.Sum64String(string(b.Name)))
+}
--- /dev/null
+++ b/anviladdress/focus_test.go
@@ -0,0 +1,76 @@
+package anviladdress_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilbridge/anviladdress"
+	"anvilbridge/anvilmodel"
+)
+
+func focusFleet(size int) []anvilmodel.Member {
+	var members []anvilmodel.Member
+	for i := range size {
+		members = append(members, anvilmodel.Member{
+			Name:          anvilmodel.VMName(fmt.Sprint("vm-", i)),
+			FailureDomain: anvilmodel.FailureDomain(fmt.Sprint("domain-", i%3)),
+			CallerAddress: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.1:%d", 8000+i)),
+			Incarnation:   1,
+			Status:        anvilmodel.MemberAlive,
+			Serving:       true,
+		})
+	}
+	return members
+}
+
+// Pattern: a failure domain is lost. Guards against callers that are all sent to
+// one domain, and against nodes that are named although they are gone.
+func TestFocusSpreadsOverDomains(t *testing.T) {
+	members := focusFleet(33)
+	counts := make(map[anvilmodel.FailureDomain]int)
+	for _, m := range anviladdress.Focus(members, 6) {
+		counts[m.FailureDomain]++
+	}
+	want := map[anvilmodel.FailureDomain]int{
+		"domain-0": 2,
+		"domain-1": 2,
+		"domain-2": 2,
+	}
+	if diff := cmp.Diff(want, counts); diff != "" {
+		t.Errorf("members by failure domain (-want +got):\n%s", diff)
+	}
+	for i := range members {
+		if members[i].FailureDomain == "domain-0" {
+			members[i].Status = anvilmodel.MemberDead
+		}
+	}
+	for _, m := range anviladdress.Focus(members, 6) {
+		if m.FailureDomain == "domain-0" {
+			t.Errorf("%s is named although its failure domain is lost", m.Name)
+		}
+	}
+}
+
+// Guards against nodes that name different members although they know the same.
+func TestFocusDoesNotDependOnTheOrder(t *testing.T) {
+	members := focusFleet(20)
+	want := anviladdress.Focus(members, 6)
+	members = append(members[7:], members[:7]...)
+	if diff := cmp.Diff(want, anviladdress.Focus(members, 6), cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
+		t.Errorf("members named (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an empty answer when only suspects are left.
+func TestFocusTakesSuspectsLast(t *testing.T) {
+	members := focusFleet(3)
+	for i := range members {
+		members[i].Status = anvilmodel.MemberSuspect
+	}
+	if diff := cmp.Diff(3, len(anviladdress.Focus(members, 6))); diff != "" {
+		t.Errorf("members named (-want +got):\n%s", diff)
+	}
+}
--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -156,6 +156,18 @@
 	return max(1, int(float64(total)*connectionMargin)/b.nodes)
 }
 
+// FewestConnections returns the smallest number of connections that a leaf of any
+// service accepts from all nodes together.
+func (b *Balancer) FewestConnections() int {
+	fewest := unboundedConnections
+	for _, s := range b.services {
+		if s.settings.MaxConnections > 0 {
+			fewest = min(fewest, s.settings.MaxConnections)
+		}
+	}
+	return int(float64(fewest) * connectionMargin)
+}
+
 // unboundedConnections is used for a service without a stated bound.
 const unboundedConnections = 64
 
--- a/anvilgateway/config.go
+++ b/anvilgateway/config.go
@@ -134,6 +134,9 @@
 	AddressLifetime time.Duration
 	// Balance holds the bounds on calls to leafs.
 	Balance anvilbalance.Config
+	// Cores is the part of the processor that the node may use, in cores; 1 by
+	// default.
+	Cores float64
 	// MaxRequests bounds the requests that are worked on at a time; 1,000 by default.
 	MaxRequests int
 	// Seed is that of all random choices.
@@ -155,6 +158,9 @@
 	if c.AddressLifetime <= 0 {
 		c.AddressLifetime = defaultAddressLifetime
 	}
+	if c.Cores <= 0 {
+		c.Cores = 1
+	}
 	if c.MaxRequests <= 0 {
 		c.MaxRequests = defaultMaxRequests
 	}
--- a/anvilgateway/directory.go
+++ b/anvilgateway/directory.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 
 	"anvilbridge/anviladdress"
 	"anvilbridge/anvilmodel"
@@ -49,9 +50,15 @@
 func (g *Gateway) addresses(domain anvilmodel.FailureDomain) []netip.AddrPort {
 	g.control.Lock()
 	defer g.control.Unlock()
+	self := g.members.Self()
+	members := anviladdress.Focus(g.members.Members(), g.focus)
+	if !slices.ContainsFunc(members, func(m anvilmodel.Member) bool { return m.Name == self.Name }) && len(members) > 0 {
+		// Choose would name this node as well.
+		self.Serving = false
+	}
 	answer := anviladdress.Choose(anviladdress.Input{
-		Members:      g.members.Members(),
-		Self:         g.members.Self(),
+		Members:      members,
+		Self:         self,
 		CallerDomain: domain,
 		Count:        maxAddresses,
 		Lifetime:     g.config.AddressLifetime,
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -34,6 +34,8 @@
 	housekeepingPeriod = 50 * time.Millisecond
 	// trimRounds is the number of such rounds between two that close connections.
 	trimRounds = 20
+	// fleetRounds is the number of rounds between two looks at the fleet.
+	fleetRounds = 4
 )
 
 // Gateway is a running node.
@@ -66,7 +68,10 @@
 	// last that large.
 	fleet  int
 	seenAt time.Time
-	peers  *anvilpeer.Client
+	// focus is the number of nodes that callers are sent to; control guards it.
+	focus int
+	load  processorLoad
+	peers *anvilpeer.Client
 
 	configuration *follower
 	leafs         *follower
@@ -99,6 +104,7 @@
 		answers:    make(map[uint64]chan anvilmember.Answer),
 		random:     rand.New(rand.NewPCG(c.Seed, 1)),
 		fleet:      1,
+		focus:      leastFocus,
 	}
 	c.Balance.FailureDomain = c.FailureDomain
 	c.Balance.Random = rand.New(rand.NewPCG(c.Seed, 2))
@@ -208,8 +214,11 @@
 		for _, l := range due {
 			g.goRun(func() { g.checkLeaf(l) })
 		}
-		if round%trimRounds == 0 {
+		if round%fleetRounds == 0 {
 			g.followFleet(now)
+		}
+		if round%trimRounds == 0 {
+			g.load.measure(now, g.config.Cores)
 			g.trimPools(now)
 			g.report()
 		}
@@ -226,6 +235,7 @@
 	m.Set(anvilmetric.LeafsBreakerOpen, float64(ejected))
 	m.Set(anvilmetric.GatewaysKnown, float64(fleet))
 	m.Set(anvilmetric.QueriesInFlight, float64(g.requests.Load()))
+	m.Set(anvilmetric.ProcessorLoad, g.load.value())
 	if t := g.table.Load(); t != nil {
 		m.Set(anvilmetric.ConfigRevision, float64(t.Version()))
 	}
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
+	"anvilbridge/anviladdress"
 	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
@@ -17,6 +20,18 @@
 	// fleetMemory is how long the largest fleet seen divides the bounds on leafs: a
 	// node that is cut off must not take the shares of the others over at once.
 	fleetMemory = 10 * time.Second
+	// leastFocus is the number of nodes that callers are sent to at least, so that
+	// the loss of one takes a quarter of them along at most.
+	leastFocus = 4
+	// focusConnections is the number of connections to each leaf that a node has to
+	// have for its share of the calls: two for each slot of a leaf and as many for
+	// calls that wait out a pause.
+	focusConnections = 8
+	// focusMargin leaves a part of the bounds on leafs to callers that come to the
+	// other nodes.
+	focusMargin = 1.25
+	// focusLoad is the load of a node above which callers are sent to more nodes.
+	focusLoad = 0.5
 )
 
 // memberName names the node at a peer address. Seeds state addresses only, so
@@ -98,7 +113,7 @@
 // updateSelf tells the membership what this node says of itself.
 func (g *Gateway) updateSelf() {
 	state := anvilmember.SelfState{
-		Load:     float64(g.requests.Load()) / float64(g.config.MaxRequests),
+		Load:     g.load.value(),
 		Revision: max(g.configuration.latest(), g.leafs.latest()),
 		Serving:  g.table.Load() != nil && g.leafs.loaded(),
 		Leaving:  g.leaving.Load(),
@@ -169,29 +184,42 @@
 	return anvilmember.ProbeReply{}, false
 }
 
-// followFleet tells the balancer how many nodes share the bounds on leafs.
+// followFleet tells the balancer how many nodes share the bounds on leafs: those
+// that callers are sent to, with a margin for the others, or for one of the others
+// the whole fleet.
 func (g *Gateway) followFleet(now time.Time) {
-	count := 0
 	g.control.Lock()
-	for i, m := range g.members.Members() {
+	members := g.members.Members()
+	active := anviladdress.Focus(members, g.focus)
+	name := g.members.Self().Name
+	g.control.Unlock()
+	count := 0
+	load := 0.0
+	for i, m := range members {
 		switch m.Status {
 		case anvilmodel.MemberAlive, anvilmodel.MemberSuspect, anvilmodel.MemberLeaving:
 			count++
+			load += m.Load
 		case anvilmodel.MemberUnheard, anvilmodel.MemberDead:
 			if i == 0 {
 				count++
 			}
 		}
 	}
-	g.control.Unlock()
+	isActive := slices.ContainsFunc(active, func(m anvilmodel.Member) bool { return m.Name == name })
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
-	if count >= g.fleet {
-		g.seenAt = now
-	}
-	if count > g.fleet || now.Sub(g.seenAt) > fleetMemory {
+	if count >= g.fleet || now.Sub(g.seenAt) > fleetMemory {
 		g.fleet = max(count, 1)
 		g.seenAt = now
-		g.balancer.SetNodes(g.fleet)
 	}
+	share := g.fleet
+	if isActive {
+		share = min(share, int(math.Ceil(float64(g.focus)*focusMargin)))
+	}
+	g.balancer.SetNodes(share)
+	focus := max(leastFocus, g.balancer.FewestConnections()/focusConnections, int(math.Ceil(load/focusLoad)))
+	g.control.Lock()
+	g.focus = focus
+	g.control.Unlock()
 }
--- a/anvilmetric/definition.go
+++ b/anvilmetric/definition.go
@@ -136,6 +136,11 @@
 		Kind: KindGauge,
 		Help: "Gateways, this one included, that the bounds on leafs are divided by.",
 	}
+	ProcessorLoad = Definition{
+		Name: "processor_load_ratio",
+		Kind: KindGauge,
+		Help: "Share of a gateway's processor time in use, smoothed over some seconds.",
+	}
 	StoreReads = Definition{
 		Name:   "store_reads_total",
 		Kind:   KindCounter,
@@ -156,6 +161,6 @@
 		LeafCalls, LeafCallDuration, LeafsCold, LeafsBreakerOpen, LeafQueue, LeafInFlight,
 		RelayedCalls, RepliesDropped, ConfigRevision, Members,
 		PeerMessages, PeerBytes, AuditEvents, DomainOut,
-		HealthChecks, LeafsKnown, GatewaysKnown, StoreReads,
+		HealthChecks, LeafsKnown, GatewaysKnown, StoreReads, ProcessorLoad,
 	}
 }
