--- a/anvilgateway/connection.go
+++ b/anvilgateway/connection.go
@@ -95,8 +95,8 @@
 	mu     sync.Mutex
 	idle   []*leafConn
 	closed bool
-	// warming says that connections are being opened early.
-	warming bool
+	// warmed says that connections were opened early.
+	warmed bool
 }
 
 func newPool(address netip.AddrPort, dialer *net.Dialer) *pool {
@@ -167,30 +167,18 @@
 	}
 }
 
-// beginWarm reports whether connections may be opened early; endWarm must follow.
+// beginWarm reports whether connections may be opened early: once, because calls
+// keep those open that are needed.
 func (p *pool) beginWarm() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.warming || p.closed {
+	if p.warmed || p.closed || len(p.idle) > 0 {
 		return false
 	}
-	p.warming = true
+	p.warmed = true
 	return true
 }
 
-func (p *pool) endWarm() {
-	p.mu.Lock()
-	p.warming = false
-	p.mu.Unlock()
-}
-
-// count returns the number of idle connections.
-func (p *pool) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle)
-}
-
 // trim closes idle connections beyond the limit and those past their time.
 func (p *pool) trim(now time.Time, limit int) {
 	p.mu.Lock()
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -66,7 +66,9 @@
 	random    *rand.Rand
 	// fleet is the size of the fleet as the balancer was told, seenAt when it was
 	// last that large.
-	fleet  int
+	fleet int
+	// active says that callers are sent to this node; balancing guards it.
+	active bool
 	seenAt time.Time
 	// focus is the number of nodes that callers are sent to; control guards it.
 	focus int
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -54,7 +54,7 @@
 }
 
 // trimPools closes the connections to leafs that are gone and surplus ones, and
-// opens some to leafs that queries are sent to.
+// opens some to leafs that queries are sent to if callers are sent to this node.
 func (g *Gateway) trimPools(now time.Time) {
 	type limitedPool struct {
 		*pool
@@ -77,6 +77,7 @@
 	}
 	g.connecting.Unlock()
 	leafs := g.balancer.Leafs(now)
+	active := g.active
 	g.balancing.Unlock()
 	for _, p := range gone {
 		p.close()
@@ -84,7 +85,7 @@
 	for _, p := range kept {
 		p.trim(now, p.limit)
 	}
-	if table := g.table.Load(); table != nil {
+	if table := g.table.Load(); table != nil && active {
 		g.warm(table.Sharded(), leafs)
 	}
 }
@@ -96,11 +97,10 @@
 			continue
 		}
 		p := g.pool(l)
-		if p.count() > 0 || !p.beginWarm() {
+		if !p.beginWarm() {
 			continue
 		}
 		g.goRun(func() {
-			defer p.endWarm()
 			for range min(warmConnections, g.idleLimit(l)) {
 				ctx, cancel := context.WithTimeout(g.background, dialTimeout)
 				conn, err := p.dial(ctx)
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -190,7 +190,7 @@
 func (g *Gateway) followFleet(now time.Time) {
 	g.control.Lock()
 	members := g.members.Members()
-	active := anviladdress.Focus(members, g.focus)
+	focused := anviladdress.Focus(members, g.focus)
 	name := g.members.Self().Name
 	g.control.Unlock()
 	count := 0
@@ -206,7 +206,7 @@
 			}
 		}
 	}
-	isActive := slices.ContainsFunc(active, func(m anvilmodel.Member) bool { return m.Name == name })
+	active := slices.ContainsFunc(focused, func(m anvilmodel.Member) bool { return m.Name == name })
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
 	if count >= g.fleet || now.Sub(g.seenAt) > fleetMemory {
@@ -214,7 +214,8 @@
 		g.seenAt = now
 	}
 	share := g.fleet
-	if isActive {
+	g.active = active
+	if active {
 		share = min(share, int(math.Ceil(float64(g.focus)*focusMargin)))
 	}
 	g.balancer.SetNodes(share)
