--- a/anvilgateway/directory.go
+++ b/anvilgateway/directory.go
@@ -51,6 +51,12 @@
 	g.control.Lock()
 	defer g.control.Unlock()
 	self := g.members.Self()
+	self.Serving = g.ready()
+	if self.Status == anvilmodel.MemberUnheard {
+		// A node that has just started may name itself before the others have heard of
+		// its incarnation: the answer does not state it.
+		self.Status = anvilmodel.MemberAlive
+	}
 	members := anviladdress.Focus(g.members.Members(), g.focus)
 	if !slices.ContainsFunc(members, func(m anvilmodel.Member) bool { return m.Name == self.Name }) && len(members) > 0 {
 		// Choose would name this node as well.
--- a/anvilgateway/gateway_test.go
+++ b/anvilgateway/gateway_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -330,3 +332,28 @@
 		return err == nil && got.status == http.StatusOK
 	})
 }
+
+// Pattern: all nodes lose power and start again together. Guards against address
+// answers that fail until the membership has settled.
+func TestNamesItselfOnceReady(t *testing.T) {
+	s := newStore()
+	s.configure(anvilroute.Configuration{
+		Version: 1,
+	})
+	// Nobody answers at the seed.
+	g := startGateway(t, s, freeAddress(t))
+	eventually(t, "the gateway is ready", g.ready)
+	got, err := g.client.Get("http://" + g.addresses.Directory.String() + "/addresses")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = got.Body.Close() }()
+	var addresses []netip.AddrPort
+	if err := json.NewDecoder(got.Body).Decode(&addresses); err != nil {
+		t.Fatalf("status %d: %v", got.StatusCode, err)
+	}
+	want := []netip.AddrPort{g.addresses.Caller}
+	if diff := cmp.Diff(want, addresses, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
+		t.Errorf("addresses (-want +got):\n%s", diff)
+	}
+}
