--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -36,7 +36,7 @@
 	failurePenalty = 6.0
 	// domainPenalty is the factor on the cost of a leaf in another failure domain,
 	// for the bytes between domains. The time is part of the latency.
-	domainPenalty = 1.08
+	domainPenalty = 1.3
 	// coldPenalty is the factor on the cost of a cold leaf.
 	coldPenalty = 1.5
 	// jitter spreads the choices between leafs of the same cost.
