--- a/anvilgateway/apply.go
+++ b/anvilgateway/apply.go
@@ -45,6 +45,11 @@
 	g.balancing.Lock()
 	g.balancer.SetServices(table.Services())
 	g.splitter.Reset()
+	for name := range g.limiters {
+		if !table.Sharded()[name] {
+			delete(g.limiters, name)
+		}
+	}
 	for name := range g.clocks {
 		if !table.Has(name) {
 			delete(g.clocks, name)
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -60,9 +60,44 @@
 		s.refuse(refused)
 		return
 	}
+	if !s.admit() {
+		s.refuse(newRefusal(http.StatusServiceUnavailable, "leafs-overloaded", anvilgather.RetryAfterOverload))
+		return
+	}
 	s.run(r)
 }
 
+// admit reports whether the leafs of a query can take it, as far as is known.
+func (s *served) admit() bool {
+	if !s.route.FansOut() {
+		return true
+	}
+	g := s.gateway
+	g.balancing.Lock()
+	defer g.balancing.Unlock()
+	// Routes over the same shards share a limiter.
+	key := s.route.Shards[0]
+	s.limiter = g.limiters[key]
+	if s.limiter == nil {
+		s.limiter = anvilgather.NewLimiter()
+		g.limiters[key] = s.limiter
+	}
+	return s.limiter.Admit(s.route.Priority)
+}
+
+// release tells the limiter how the query ended.
+func (s *served) release(finish *anvilgather.Action) {
+	if s.limiter == nil {
+		return
+	}
+	g := s.gateway
+	g.balancing.Lock()
+	defer g.balancing.Unlock()
+	answered := finish != nil && finish.Finish == anvilgather.FinishAnswered
+	overloaded := finish != nil && !answered && finish.Cause == anvilgather.CauseShed
+	s.limiter.Done(answered, overloaded, time.Now())
+}
+
 // served is a request that is being served.
 type served struct {
 	gateway *Gateway
@@ -79,6 +114,7 @@
 	elapsed time.Duration
 	transit time.Duration
 
+	limiter    *anvilgather.Limiter
 	hedgeDelay time.Duration
 	request    *anvilgather.Request
 	replies    chan callEnd
@@ -191,6 +227,7 @@
 	s.good = make([]*reply, len(services))
 	s.replies = make(chan callEnd, len(services)*max(s.route.Attempts, 1))
 	finish := s.loop(r.Context(), calls)
+	s.release(finish)
 	switch {
 	case s.request.Open() == 0:
 		abandon()
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -48,11 +48,12 @@
 
 	table atomic.Pointer[anvilroute.Table]
 
-	// balancing guards balancer, splitter and clocks.
+	// balancing guards balancer, splitter, clocks and limiters.
 	balancing sync.Mutex
 	balancer  *anvilbalance.Balancer
 	splitter  *anvilroute.Splitter
 	clocks    map[anvilroute.Name]*anvilgather.CallerClock
+	limiters  map[anvilmodel.ServiceName]*anvilgather.Limiter
 
 	connecting sync.Mutex
 	pools      map[anvilmodel.LeafName]*leafPool
@@ -101,6 +102,7 @@
 		stop:       stop,
 		splitter:   anvilroute.NewSplitter(),
 		clocks:     make(map[anvilroute.Name]*anvilgather.CallerClock),
+		limiters:   make(map[anvilmodel.ServiceName]*anvilgather.Limiter),
 		pools:      make(map[anvilmodel.LeafName]*leafPool),
 		dialer:     newDialer(dialTimeout),
 		answers:    make(map[uint64]chan anvilmember.Answer),
--- /dev/null
+++ b/anvilgather/limiter_test.go
@@ -0,0 +1,101 @@
+package anvilgather_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"anvilbridge/anvilgather"
+)
+
+const seed = 20261204
+
+// playBurst lets queries arrive at a rate at shards that can work on a number of
+// them at a time, each for 80 ms, and shed what is beyond. A query that is shed
+// occupies the other shards for a part of that time. It returns the queries that
+// were answered and those that failed in the last half.
+func playBurst(perSecond, room int, limited bool) (answered, failed int) {
+	const work, wasted = 80 * time.Millisecond, 50 * time.Millisecond
+	random := rand.New(rand.NewPCG(seed, uint64(perSecond)))
+	l := anvilgather.NewLimiter()
+	type running struct {
+		end time.Time
+		ok  bool
+	}
+	var open []running
+	const length = 12 * time.Second
+	for now := start; now.Before(start.Add(length)); now = now.Add(time.Millisecond) {
+		kept := open[:0]
+		for _, q := range open {
+			if q.end.After(now) {
+				kept = append(kept, q)
+				continue
+			}
+			if limited {
+				l.Done(q.ok, !q.ok, now)
+			}
+			if now.Sub(start) > length/2 {
+				if q.ok {
+					answered++
+				} else {
+					failed++
+				}
+			}
+		}
+		open = kept
+		if random.IntN(1000) >= perSecond || limited && !l.Admit(1) {
+			continue
+		}
+		if len(open) < room {
+			open = append(open, running{
+				end: now.Add(work),
+				ok:  true,
+			})
+			continue
+		}
+		open = append(open, running{
+			end: now.Add(wasted),
+		})
+	}
+	return answered, failed
+}
+
+// Pattern: three times the usual number of queries arrive for some seconds.
+// Guards against leafs that work for queries which fail, so that fewer are
+// answered than without the burst.
+func TestBurstIsRefusedNotWasted(t *testing.T) {
+	const room = 10
+	// Ten queries at a time, 80 ms each, are 125 a second.
+	const capacity = 125 * 6
+	answered, failed := playBurst(375, room, true)
+	blind, blindFailed := playBurst(375, room, false)
+	t.Logf("seed %d: %d answered and %d failed, %d and %d without a limit", seed, answered, failed, blind, blindFailed)
+	if answered < capacity*3/4 {
+		t.Errorf("seed %d: %d queries answered, the leafs can answer %d", seed, answered, capacity)
+	}
+	if failed > answered/4 {
+		t.Errorf("seed %d: %d queries failed after leafs had worked for them, %d were answered", seed, failed, answered)
+	}
+}
+
+// Guards against a limit that refuses queries on a calm day.
+func TestCalmDayIsNotLimited(t *testing.T) {
+	limited, _ := playBurst(60, 30, true)
+	free, _ := playBurst(60, 30, false)
+	if limited != free {
+		t.Errorf("seed %d: %d queries answered with the limiter, %d without", seed, limited, free)
+	}
+}
+
+// Guards against lesser requests that take the room of the more urgent ones.
+func TestUrgentQueriesHaveRoom(t *testing.T) {
+	l := anvilgather.NewLimiter()
+	l.Admit(0)
+	n := 0
+	for l.Admit(2) {
+		n++
+	}
+	if float64(n) >= l.Limit()-1 || !l.Admit(0) {
+		t.Errorf("%d lesser queries run under a limit of %.0f and an urgent one is refused", n, l.Limit())
+	}
+}
