Let late answers cut the limit of queries as well

Cause: under a burst the leafs queue 12 calls before they shed one, so that queries that were admitted came late.

--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -94,8 +94,9 @@
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
 	answered := finish != nil && finish.Finish == anvilgather.FinishAnswered
-	overloaded := finish != nil && !answered && finish.Cause == anvilgather.CauseShed
-	s.limiter.Done(answered, overloaded, time.Now())
+	shed := finish != nil && !answered && finish.Cause == anvilgather.CauseShed
+	late := s.elapsed+time.Since(s.arrived) > s.route.Target
+	s.limiter.Done(answered && !late, shed || late, time.Now())
 }
 
 // served is a request that is being served.
--- a/anvilgather/limiter.go
+++ b/anvilgather/limiter.go
@@ -68,8 +68,9 @@
 	return true
 }
 
-// Done ends an admitted query: answered says that it was answered, overloaded that
-// it failed because leafs shed its calls.
+// Done ends an admitted query: answered says that it was answered in time,
+// overloaded that it failed because leafs shed its calls, or ended past its target
+// because they had queued them.
 func (l *Limiter) Done(answered, overloaded bool, now time.Time) {
 	used := float64(l.running) >= usedShare*l.limit
 	l.running--
