--- a/anvilcommand/command.go
+++ b/anvilcommand/command.go
@@ -14,6 +14,7 @@
 type commands struct {
 	Node    nodeCommand    `cmd:"" help:"Run the node of an entry VM."`
 	Gateway gatewayCommand `cmd:"" help:"Run a gateway on the users' platform."`
+	Explain explainCommand `cmd:"" help:"Print what gateways logged of a request and of the leafs that it names."`
 	Check   Check          `cmd:"" help:"Check a base file and its overlays."`
 	Render  Render         `cmd:"" help:"Print the effective configuration of a site and the origin of each value."`
 	Diff    Diff           `cmd:"" help:"Print the fields that differ between two sets of documents."`
