--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -200,11 +200,11 @@
 	}
 }
 
-func freeAddress(t testing.TB) netip.AddrPort {
-	t.Helper()
+func freeAddress(tb testing.TB) netip.AddrPort {
+	tb.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
 	return netip.MustParseAddrPort(listener.Addr().String())
@@ -219,21 +219,21 @@
 }
 
 // startGateway runs a gateway until the test ends.
-func startGateway(t testing.TB, s *store, seeds ...netip.AddrPort) *running {
-	t.Helper()
+func startGateway(tb testing.TB, s *store, seeds ...netip.AddrPort) *running {
+	tb.Helper()
 	metrics := anvilmetric.New(anvilmetric.Config{})
 	addresses := anvilgateway.Addresses{
-		Caller:    freeAddress(t),
-		Ready:     freeAddress(t),
-		Directory: freeAddress(t),
-		Peer:      freeAddress(t),
+		Caller:    freeAddress(tb),
+		Ready:     freeAddress(tb),
+		Directory: freeAddress(tb),
+		Peer:      freeAddress(tb),
 	}
 	g := &running{
 		addresses: addresses,
 		done:      make(chan error, 1),
 		client:    &http.Client{Transport: &http.Transport{}},
 		Gateway: anvilgateway.New(anvilgateway.Config{
-			Name:            t.Name(),
+			Name:            tb.Name(),
 			Addresses:       addresses,
 			Seeds:           append([]netip.AddrPort{addresses.Peer}, seeds...),
 			Protocol:        protocol(),
@@ -249,10 +249,10 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { g.done <- g.Run(ctx) }()
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		cancel()
 		if err := <-g.done; err != nil {
-			t.Errorf("gateway: %v", err)
+			tb.Errorf("gateway: %v", err)
 		}
 		g.client.CloseIdleConnections()
 		_ = metrics.Close()
@@ -260,11 +260,11 @@
 	return g
 }
 
-func eventually(t testing.TB, what string, condition func() bool) {
-	t.Helper()
+func eventually(tb testing.TB, what string, condition func() bool) {
+	tb.Helper()
 	for deadline := time.Now().Add(patience); !condition(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("still not true after %s: %s", patience, what)
+			tb.Fatalf("still not true after %s: %s", patience, what)
 		}
 	}
 }
