--- a/anvilcommand/gateway.go
+++ b/anvilcommand/gateway.go
@@ -28,6 +28,10 @@
 	// memoryShare is the part of the process's memory that the heap may take before
 	// it is collected more eagerly.
 	memoryShare = 0.6
+	// requestBytes is what a request may take: 90 calls with their stacks, buffers
+	// and replies. The memory of the process divided by it bounds the requests that
+	// are worked on at a time.
+	requestBytes = 2 << 20
 )
 
 // gatewayCommand runs a gateway on the users' platform.
@@ -58,6 +62,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
 	config := settings.Gateway
+	config.MaxRequests = int(settings.MemoryBytes / requestBytes)
 	writer := newLogWriter(out.stdout)
 	defer func() { _ = writer.Close() }()
 	config.Log = newLog(writer, level).With().Str("vm", config.Name).Logger()
