Take the locks of a gateway in one order

Cause: found on reading. An address answer held the lock of the members while it asked a follower whether the leafs are known; a follower holds its lock while it waits for the balancer's; the look at the fleet held the balancer's while it waited for that of the members. Three such waits at once end the node's service without ending the process.

--- a/anvilgateway/connection.go
+++ b/anvilgateway/connection.go
@@ -38,8 +38,9 @@
 	readBuffer = 4 << 10
 )
 
-// newDialer returns a dialer whose connections notice a silent peer.
-func newDialer(timeout time.Duration) *net.Dialer {
+// NewDialer returns a dialer whose connections notice within some seconds that
+// their peer has gone silent.
+func NewDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
--- a/anvilgateway/directory.go
+++ b/anvilgateway/directory.go
@@ -16,7 +16,7 @@
 
 // dialPeer opens a connection to another node.
 func (g *Gateway) dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	return newDialer(peerTimeout).DialContext(ctx, "tcp", address.String())
+	return NewDialer(peerTimeout).DialContext(ctx, "tcp", address.String())
 }
 
 // serveReady answers the platform's readiness checks.
@@ -48,10 +48,11 @@
 }
 
 func (g *Gateway) addresses(domain anvilmodel.FailureDomain) []netip.AddrPort {
+	ready := g.ready()
 	g.control.Lock()
 	defer g.control.Unlock()
 	self := g.members.Self()
-	self.Serving = g.ready()
+	self.Serving = ready
 	if self.Status == anvilmodel.MemberUnheard {
 		// A node that has just started may name itself before the others have heard of
 		// its incarnation: the answer does not state it.
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -48,7 +48,10 @@
 
 	table atomic.Pointer[anvilroute.Table]
 
-	// balancing guards balancer, splitter, clocks and limiters.
+	// The locks are taken in the order control, a follower's, balancing, connecting;
+	// none is waited for while a later one is held.
+
+	// balancing guards balancer, splitter, clocks, limiters, fleet, active and seenAt.
 	balancing sync.Mutex
 	balancer  *anvilbalance.Balancer
 	splitter  *anvilroute.Splitter
@@ -59,7 +62,7 @@
 	pools      map[anvilmodel.LeafName]*leafPool
 	dialer     *net.Dialer
 
-	// control guards members and answers.
+	// control guards members, answers, random and focus.
 	control   sync.Mutex
 	members   *anvilmember.Membership
 	answers   map[uint64]chan anvilmember.Answer
@@ -68,10 +71,10 @@
 	// fleet is the size of the fleet as the balancer was told, seenAt when it was
 	// last that large.
 	fleet int
-	// active says that callers are sent to this node; balancing guards it.
+	// active says that callers are sent to this node.
 	active bool
 	seenAt time.Time
-	// focus is the number of nodes that callers are sent to; control guards it.
+	// focus is the number of nodes that callers are sent to.
 	focus int
 	load  processorLoad
 	peers *anvilpeer.Client
@@ -104,7 +107,7 @@
 		clocks:     make(map[anvilroute.Name]*anvilgather.CallerClock),
 		limiters:   make(map[anvilmodel.ServiceName]*anvilgather.Limiter),
 		pools:      make(map[anvilmodel.LeafName]*leafPool),
-		dialer:     newDialer(dialTimeout),
+		dialer:     NewDialer(dialTimeout),
 		answers:    make(map[uint64]chan anvilmember.Answer),
 		random:     rand.New(rand.NewPCG(c.Seed, 1)),
 		fleet:      1,
@@ -234,9 +237,11 @@
 	g.balancing.Lock()
 	known, ejected := g.balancer.Counts()
 	fleet := g.fleet
+	period, _ := g.balancer.Pauses()
 	g.balancing.Unlock()
 	m.Set(anvilmetric.LeafsKnown, float64(known))
 	m.Set(anvilmetric.LeafsBreakerOpen, float64(ejected))
+	m.Set(anvilmetric.LeafPausePeriod, period.Seconds())
 	m.Set(anvilmetric.GatewaysKnown, float64(fleet))
 	m.Set(anvilmetric.QueriesInFlight, float64(g.requests.Load()))
 	m.Set(anvilmetric.ProcessorLoad, g.load.value())
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -193,7 +193,8 @@
 func (g *Gateway) followFleet(now time.Time) {
 	g.control.Lock()
 	members := g.members.Members()
-	focused := anviladdress.Focus(members, g.focus)
+	focus := g.focus
+	focused := anviladdress.Focus(members, focus)
 	name := g.members.Self().Name
 	g.control.Unlock()
 	count := 0
@@ -210,6 +211,15 @@
 		}
 	}
 	active := slices.ContainsFunc(focused, func(m anvilmodel.Member) bool { return m.Name == name })
+	wanted := g.shareBounds(count, focus, active, now)
+	g.control.Lock()
+	g.focus = max(wanted, int(math.Ceil(load/focusLoad)))
+	g.control.Unlock()
+}
+
+// shareBounds divides the bounds on leafs and returns the number of nodes that
+// callers should be sent to for the sake of their connections.
+func (g *Gateway) shareBounds(count, focus int, active bool, now time.Time) int {
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
 	if count >= g.fleet || now.Sub(g.seenAt) > fleetMemory {
@@ -219,11 +229,8 @@
 	share := g.fleet
 	g.active = active
 	if active {
-		share = min(share, int(math.Ceil(float64(g.focus)*focusMargin)))
+		share = min(share, int(math.Ceil(float64(focus)*focusMargin)))
 	}
 	g.balancer.SetNodes(share)
-	focus := max(leastFocus, g.balancer.FewestConnections()/focusConnections, int(math.Ceil(load/focusLoad)))
-	g.control.Lock()
-	g.focus = focus
-	g.control.Unlock()
+	return max(leastFocus, g.balancer.FewestConnections()/focusConnections)
 }
--- a/anvilmetric/definition.go
+++ b/anvilmetric/definition.go
@@ -131,6 +131,11 @@
 		Kind: KindGauge,
 		Help: "Leafs that a gateway knows from the platform's store.",
 	}
+	LeafPausePeriod = Definition{
+		Name: "leaf_pause_period_seconds",
+		Kind: KindGauge,
+		Help: "Period of the leafs' pauses that a gateway has learned; 0 if none.",
+	}
 	GatewaysKnown = Definition{
 		Name: "gateways_known",
 		Kind: KindGauge,
@@ -161,6 +166,6 @@
 		LeafCalls, LeafCallDuration, LeafsCold, LeafsBreakerOpen, LeafQueue, LeafInFlight,
 		RelayedCalls, RepliesDropped, ConfigRevision, Members,
 		PeerMessages, PeerBytes, AuditEvents, DomainOut,
-		HealthChecks, LeafsKnown, GatewaysKnown, StoreReads, ProcessorLoad,
+		HealthChecks, LeafsKnown, GatewaysKnown, LeafPausePeriod, StoreReads, ProcessorLoad,
 	}
 }
