Name no node that misses the floors of its routes

Cause: while a failure domain is cut off from the others, callers still reach its nodes; these refused every query and went on naming themselves and each other. Ruled out: a share of shards as the bound (half of them were reached, the floors are at three quarters and more). If no node reaches enough leafs, all that are there are named as before. TestCutOffNodeNamesNobody plays the pattern.

--- a/anvilgateway/directory.go
+++ b/anvilgateway/directory.go
@@ -47,6 +47,29 @@
 	}
 }
 
+// isolated reports whether this node reaches at most half of the other nodes. If
+// it does not reach the leafs either, callers have to ask another one. The lock
+// control is held.
+func (g *Gateway) isolated() bool {
+	dead, others := 0, 0
+	for _, m := range g.members.Members()[1:] {
+		others++
+		if m.Status == anvilmodel.MemberDead || m.Status == anvilmodel.MemberSuspect {
+			dead++
+		}
+	}
+	return others > 0 && dead*2 >= others
+}
+
+// serving returns the members as if all were in service.
+func serving(members []anvilmodel.Member) []anvilmodel.Member {
+	all := slices.Clone(members)
+	for i := range all {
+		all[i].Serving = true
+	}
+	return all
+}
+
 func (g *Gateway) addresses(domain anvilmodel.FailureDomain) []netip.AddrPort {
 	ready := g.ready()
 	g.control.Lock()
@@ -58,7 +81,14 @@
 		// its incarnation: the answer does not state it.
 		self.Status = anvilmodel.MemberAlive
 	}
+	self.Serving = self.Serving && g.able.Load()
 	members := anviladdress.Focus(g.members.Members(), g.focus)
+	if len(members) == 0 && !self.Serving && ready && !g.isolated() {
+		// No node reaches enough leafs; the callers are still best served by those
+		// that are there.
+		self.Serving = true
+		members = serving(g.members.Members())
+	}
 	if !slices.ContainsFunc(members, func(m anvilmodel.Member) bool { return m.Name == self.Name }) && len(members) > 0 {
 		// Choose would name this node as well.
 		self.Serving = false
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -214,8 +214,10 @@
 type running struct {
 	*anvilgateway.Gateway
 	addresses anvilgateway.Addresses
-	done      chan error
-	client    *http.Client
+	// stop ends the gateway at once.
+	stop   context.CancelFunc
+	done   chan error
+	client *http.Client
 }
 
 // startGateway runs a gateway until the test ends.
@@ -248,6 +250,7 @@
 		}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	g.stop = cancel
 	go func() { g.done <- g.Run(ctx) }()
 	tb.Cleanup(func() {
 		cancel()
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -84,6 +84,8 @@
 
 	requests atomic.Int64
 	lastWork atomic.Int64
+	// able says that this node reaches enough shards to be named to callers.
+	able atomic.Bool
 	// leaving is set by the signal to stop, closing when new requests are refused.
 	leaving atomic.Bool
 	closing atomic.Bool
@@ -116,6 +118,7 @@
 	c.Balance.FailureDomain = c.FailureDomain
 	c.Balance.Random = rand.New(rand.NewPCG(c.Seed, 2))
 	g.balancer = anvilbalance.New(c.Balance)
+	g.able.Store(true)
 	g.configuration = newFollower(g, c.Store.ConfigurationPrefix, g.applyConfiguration)
 	g.leafs = newFollower(g, c.Store.LeafPrefix, g.applyLeafs)
 	g.startMembers()
--- a/anvilgateway/gateway_test.go
+++ b/anvilgateway/gateway_test.go
@@ -357,3 +357,40 @@
 		t.Errorf("addresses (-want +got):\n%s", diff)
 	}
 }
+
+// Pattern: a failure domain is cut off from the others while callers still reach
+// it. Guards against a node that names itself although it reaches no leafs and no
+// other node.
+func TestCutOffNodeNamesNobody(t *testing.T) {
+	s := newStore()
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a"), service("b")},
+		Routes: []anvilroute.Route{{
+			Name:        "query",
+			Host:        "lots.example",
+			Prefix:      "/query/",
+			Timeout:     time.Second,
+			Target:      time.Second,
+			Shards:      []anvilmodel.ServiceName{"a", "b"},
+			MinCoverage: 0.5,
+		}},
+	})
+	other := startGateway(t, s)
+	eventually(t, "the other node is ready", other.ready)
+	g := startGateway(t, s, other.addresses.Peer)
+	named := func() int {
+		resp, err := g.client.Get("http://" + g.addresses.Directory.String() + "/addresses")
+		if err != nil {
+			return -1
+		}
+		defer func() { _ = resp.Body.Close() }()
+		var addresses []netip.AddrPort
+		_ = json.NewDecoder(resp.Body).Decode(&addresses)
+		return len(addresses)
+	}
+	// No leaf is registered, which both nodes see: they are named all the same.
+	eventually(t, "both nodes are named", func() bool { return named() == 2 })
+	other.stop()
+	eventually(t, "nobody is named by the node that is cut off", func() bool { return named() == 0 })
+}
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -12,6 +12,7 @@
 	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
+	"anvilbridge/anvilroute"
 )
 
 const (
@@ -118,7 +119,7 @@
 	state := anvilmember.SelfState{
 		Load:     g.load.value(),
 		Revision: max(g.configuration.latest(), g.leafs.latest()),
-		Serving:  g.table.Load() != nil && g.leafs.loaded(),
+		Serving:  g.table.Load() != nil && g.leafs.loaded() && g.able.Load(),
 		Leaving:  g.leaving.Load(),
 	}
 	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
@@ -222,6 +223,7 @@
 func (g *Gateway) shareBounds(count, focus int, active bool, now time.Time) int {
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
+	g.lookAtLeafs(now)
 	if count >= g.fleet || now.Sub(g.seenAt) > fleetMemory {
 		g.fleet = max(count, 1)
 		g.seenAt = now
@@ -234,3 +236,33 @@
 	g.balancer.SetNodes(share)
 	return max(leastFocus, g.balancer.FewestConnections()/focusConnections)
 }
+
+// lookAtLeafs notes whether this node reaches enough shards: it does not if most
+// routes over shards miss their floor. The lock balancing is held.
+func (g *Gateway) lookAtLeafs(now time.Time) {
+	able := true
+	if table := g.table.Load(); table != nil && len(table.Queries()) > 0 {
+		short := 0
+		for _, r := range table.Queries() {
+			if !g.reachesFloor(r, now) {
+				short++
+			}
+		}
+		able = short*2 <= len(table.Queries())
+	}
+	if g.able.Swap(able) != able {
+		g.config.Log.Info().Str("event", "reach-changed").Bool("able", able).Send()
+	}
+}
+
+// reachesFloor reports whether enough shards of a route have a leaf that can be
+// called.
+func (g *Gateway) reachesFloor(r *anvilroute.Route, now time.Time) bool {
+	reached := 0
+	for _, name := range r.Shards {
+		if g.balancer.Available(name, now) {
+			reached++
+		}
+	}
+	return float64(reached) >= r.MinCoverage*float64(len(r.Shards))
+}
--- a/anvilroute/route.go
+++ b/anvilroute/route.go
@@ -88,6 +88,7 @@
 	services map[anvilmodel.ServiceName]Service
 	sharded  map[anvilmodel.ServiceName]bool
 	names    map[Name]bool
+	queries  []*Route
 }
 
 // NewTable indexes a configuration.
@@ -105,6 +106,9 @@
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], &r)
 		t.names[r.Name] = true
+		if r.FansOut() {
+			t.queries = append(t.queries, &r)
+		}
 		for _, s := range r.Shards {
 			t.sharded[s] = true
 		}
@@ -136,6 +140,11 @@
 	return t.services
 }
 
+// Queries returns the routes that fan out.
+func (t *Table) Queries() []*Route {
+	return t.queries
+}
+
 // Has reports whether the configuration has the route.
 func (t *Table) Has(name Name) bool {
 	return t.names[name]
