--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -95,7 +95,8 @@
 	defer g.balancing.Unlock()
 	answered := finish != nil && finish.Finish == anvilgather.FinishAnswered
 	shed := finish != nil && !answered && finish.Cause == anvilgather.CauseShed
-	late := s.elapsed+time.Since(s.arrived) > s.route.Target
+	// The time before the arrival does not count: a second attempt arrives late.
+	late := time.Since(s.arrived) > s.route.Target
 	s.limiter.Done(answered && !late, shed || late, time.Now())
 }
 
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -145,8 +145,9 @@
 		return false
 	}
 	defer func() { _ = conn.Close() }()
-	deadline, _ := ctx.Deadline()
-	_ = conn.SetDeadline(deadline)
+	// The check must not hold the end of the process up.
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Address.String()+path, http.NoBody)
 	if err != nil {
 		return false
--- a/anvilgateway/shutdown.go
+++ b/anvilgateway/shutdown.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// settleTime is how long after the signal to stop callers may still come with an
-	// address answer from before, if they keep it for its stated lifetime.
+	// settleMargin is how long after the lifetime of an address answer from before the
+	// signal to stop callers may still come.
 	settleMargin = 500 * time.Millisecond
 	// quietTime without a request ends a node that is leaving.
 	quietTime = 400 * time.Millisecond
