Choose the readers of the store whether they serve callers or not

Cause: a node that misses the floors of its routes is out of service, and readers had to be in service.

--- a/anvilgateway/follow.go
+++ b/anvilgateway/follow.go
@@ -58,6 +58,11 @@
 	// apply is called with each batch of changes, one batch at a time.
 	apply func(items []anvilmirror.Item, lapsed bool)
 
+	// position is the store's revision after the last read. Only the reading
+	// goroutine uses it: it may be above a change that a watch has missed, so that
+	// other nodes are not told it.
+	position uint64
+
 	mu     sync.Mutex
 	mirror *anvilmirror.Mirror
 	// changed is closed and replaced when the mirror has changed.
@@ -208,15 +213,17 @@
 		c, err = store.ReadAll(limited, f.prefix)
 		cancel()
 	} else {
-		c, err = store.Watch(ctx, f.prefix, f.after(), f.wait())
+		c, err = store.Watch(ctx, f.prefix, f.position, f.wait())
 	}
 	f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, kind, outcomeLabel(err == nil))
 	if err != nil {
 		return err
 	}
 	if *whole {
+		f.position = c.Revision
 		f.take(c, 0)
 	} else {
+		f.position = max(f.position, c.Revision)
 		// A watch that returns does not confirm that it has missed nothing.
 		f.take(c, -1)
 	}
--- a/anvilmirror/reader.go
+++ b/anvilmirror/reader.go
@@ -10,13 +10,15 @@
 )
 
 // Readers returns the members, at most count, that read the platform's store for
-// all: the first of those alive by the hash of their names. Nodes with the same
+// all: the first of those alive by the hash of their names. A member that states
+// no revision has not read anything; whether it serves callers does not matter,
+// because all may be out of service at once while leafs are lost. Nodes with the same
 // view agree without exchanging anything; those with different views agree on
 // most.
 func Readers(members []anvilmodel.Member, count int) []anvilmodel.Member {
 	usable := make([]anvilmodel.Member, 0, len(members))
 	for _, m := range members {
-		if m.Status == anvilmodel.MemberAlive && m.Serving && m.PeerAddress.IsValid() {
+		if m.Status == anvilmodel.MemberAlive && m.Revision > 0 && m.PeerAddress.IsValid() {
 			usable = append(usable, m)
 		}
 	}
