--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -200,14 +201,27 @@
 	}
 }
 
+// usedPorts are those handed out: a port that was closed again may be offered twice.
+var usedPorts sync.Map
+
+// freeAddress returns an address below the range of outgoing connections, which
+// may take a port before its gateway listens.
 func freeAddress(tb testing.TB) netip.AddrPort {
 	tb.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
+	for {
+		port := 15000 + rand.IntN(15000)
+		if _, used := usedPorts.LoadOrStore(port, true); used {
+			continue
+		}
+		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err != nil {
+			tb.Fatal(err)
+		}
+		return netip.MustParseAddrPort(listener.Addr().String())
 	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
 // running is a gateway under test.
