Let one prober drive the membership of node and gateway, and drop what stood twice

Found on reading the whole change; no decision is changed but where said. - The gateway had written the node's code again that ticks a membership, sends its probes and answers those of others. anvilpeer.Prober does it for both; what differs are hooks. - The floor of a route was worked out in anvilgather and, without the slack for rounding and the least of one shard, in the gateway. anvilroute has it now; a node that reaches no shard of a route without a floor no longer counts as reaching it, as the request itself is refused. - A request kept beside each overdue call whether it was hedged; both happen at one moment. - A follower's whole read is a position of 0, in place of a flag passed along. - A call looked its leaf's pool up a second time at its end. With an entry that had changed meanwhile this made a pool for the old process and closed the new one's connections. - The order of nodes by the hash of their names stood in three places. - That callers keep an address answer for 2 s at most was decided in platform/.

--- a/anviladdress/focus.go
+++ b/anviladdress/focus.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"anvilbridge/anvilmodel"
 )
 
@@ -58,5 +56,5 @@
 }
 
 func byHash(a, b anvilmodel.Member) int {
-	return cmp.Compare(xxhash.Sum64String(string(a.Name)), xxhash.Sum64String(string(b.Name)))
+	return anvilmodel.CompareByHash(a.Name, b.Name)
 }
--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -29,6 +29,8 @@
 	// connectionMargin leaves room for connections that the leaf has not seen
 	// close yet and for nodes that are not known yet.
 	connectionMargin = 0.9
+	// unboundedConnections is used for a service without a stated bound.
+	unboundedConnections = 64
 )
 
 // Leaf is a leaf as it has registered itself.
@@ -169,9 +171,6 @@
 	return int(float64(fewest) * connectionMargin)
 }
 
-// unboundedConnections is used for a service without a stated bound.
-const unboundedConnections = 64
-
 // CountRequest counts a request to a service. Extra calls are earned by it.
 func (b *Balancer) CountRequest(name anvilmodel.ServiceName, now time.Time) {
 	s := b.service(name)
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -121,17 +121,14 @@
 	return leafs
 }
 
-// ServiceOf returns the service of a leaf; empty if the leaf is not known.
-func (b *Balancer) ServiceOf(id anvilmodel.LeafName) anvilmodel.ServiceName {
-	if held := b.leafs[id]; held != nil {
-		return held.leaf.Service
+// ServiceOf returns the service of a leaf, whether usable or not; ok is false if
+// the leaf is not known.
+func (b *Balancer) ServiceOf(id anvilmodel.LeafName) (name anvilmodel.ServiceName, ok bool) {
+	held := b.leafs[id]
+	if held == nil {
+		return "", false
 	}
-	return ""
-}
-
-// Held reports whether the leaf's process is known, whether usable or not.
-func (b *Balancer) Held(id anvilmodel.LeafName) bool {
-	return b.leafs[id] != nil
+	return held.leaf.Service, true
 }
 
 func (l *leafState) usable(b *Balancer, now time.Time) bool {
--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -127,7 +127,7 @@
 				}
 			}
 		}
-		r, sent := g.exchange(ctx, conn, out, leaf)
+		r, sent := g.exchange(ctx, p, conn, out, leaf)
 		if opened || sent || ctx.Err() != nil {
 			return r
 		}
@@ -135,10 +135,10 @@
 	}
 }
 
-// exchange sends the call over a connection and reads the reply. The connection
-// is kept afterwards or closed. sent is false only if certainly no byte of the
+// exchange sends the call over a connection of the pool and reads the reply. The
+// connection is kept afterwards or closed. sent is false only if certainly no byte of the
 // call was sent.
-func (g *Gateway) exchange(ctx context.Context, conn *leafConn, out *outbound, leaf anvilbalance.Leaf) (r *reply, sent bool) {
+func (g *Gateway) exchange(ctx context.Context, p *pool, conn *leafConn, out *outbound, leaf anvilbalance.Leaf) (r *reply, sent bool) {
 	left := time.Until(out.deadline)
 	message := make([]byte, 0, len(out.head)+len(out.body)+128)
 	message = append(message, out.head...)
@@ -162,7 +162,7 @@
 	interrupted := !stop()
 	keep := r.answered() && r.err == nil && !interrupted && conn.idleFor > 0 && conn.reader.Buffered() == 0 && len(out.body) < largeBody
 	if keep {
-		g.pool(leaf).put(conn, time.Now(), g.idleLimit(leaf))
+		p.put(conn, time.Now(), g.idleLimit(leaf))
 	} else {
 		_ = conn.Close()
 	}
--- a/anvilgateway/config.go
+++ b/anvilgateway/config.go
@@ -86,7 +86,7 @@
 	Domain anvilmodel.FailureDomain
 }
 
-// Store reads what the platform publishes.
+// Store reads what the platform publishes. Its revisions are above 0.
 type Store struct {
 	// ConfigurationPrefix and LeafPrefix are the prefixes that are followed.
 	ConfigurationPrefix string
@@ -130,7 +130,8 @@
 	// Grace is the time between the signal to stop and the end of the process; 6 s
 	// by default.
 	Grace time.Duration
-	// AddressLifetime is how long callers may use an address answer; 2 s by default.
+	// AddressLifetime is how long callers may use an address answer; 2 s by default
+	// and at most, so that they soon leave a node that is gone.
 	AddressLifetime time.Duration
 	// Balance holds the bounds on calls to leafs.
 	Balance anvilbalance.Config
@@ -147,7 +148,7 @@
 
 const (
 	defaultGrace           = 6 * time.Second
-	defaultAddressLifetime = 2 * time.Second
+	longestAddressLifetime = 2 * time.Second
 	defaultMaxRequests     = 1000
 )
 
@@ -155,8 +156,8 @@
 	if c.Grace <= 0 {
 		c.Grace = defaultGrace
 	}
-	if c.AddressLifetime <= 0 {
-		c.AddressLifetime = defaultAddressLifetime
+	if c.AddressLifetime <= 0 || c.AddressLifetime > longestAddressLifetime {
+		c.AddressLifetime = longestAddressLifetime
 	}
 	if c.Cores <= 0 {
 		c.Cores = 1
--- a/anvilgateway/directory.go
+++ b/anvilgateway/directory.go
@@ -1,8 +1,6 @@
 package anvilgateway
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -14,11 +12,6 @@
 // maxAddresses is the number of addresses that callers accept in an answer.
 const maxAddresses = 64
 
-// dialPeer opens a connection to another node.
-func (g *Gateway) dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
-	return NewDialer(peerTimeout).DialContext(ctx, "tcp", address.String())
-}
-
 // serveReady answers the platform's readiness checks.
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -51,14 +44,14 @@
 // it does not reach the leafs either, callers have to ask another one. The lock
 // control is held.
 func (g *Gateway) isolated() bool {
-	dead, others := 0, 0
-	for _, m := range g.members.Members()[1:] {
-		others++
+	others := g.members.Members()[1:]
+	lost := 0
+	for _, m := range others {
 		if m.Status == anvilmodel.MemberDead || m.Status == anvilmodel.MemberSuspect {
-			dead++
+			lost++
 		}
 	}
-	return others > 0 && dead*2 >= others
+	return len(others) > 0 && lost*2 >= len(others)
 }
 
 // serving returns the members as if all were in service.
@@ -71,25 +64,24 @@
 }
 
 func (g *Gateway) addresses(domain anvilmodel.FailureDomain) []netip.AddrPort {
-	ready := g.ready()
+	ready, able := g.ready(), g.able.Load()
 	g.control.Lock()
 	defer g.control.Unlock()
 	self := g.members.Self()
-	self.Serving = ready
+	self.Serving = ready && able
 	if self.Status == anvilmodel.MemberUnheard {
 		// A node that has just started may name itself before the others have heard of
 		// its incarnation: the answer does not state it.
 		self.Status = anvilmodel.MemberAlive
 	}
-	self.Serving = self.Serving && g.able.Load()
 	members := anviladdress.Focus(g.members.Members(), g.focus)
-	if len(members) == 0 && !self.Serving && ready && !g.isolated() {
+	if len(members) == 0 && ready && !able && !g.isolated() {
 		// No node reaches enough leafs; the callers are still best served by those
 		// that are there.
 		self.Serving = true
 		members = serving(g.members.Members())
 	}
-	if !slices.ContainsFunc(members, func(m anvilmodel.Member) bool { return m.Name == self.Name }) && len(members) > 0 {
+	if len(members) > 0 && !slices.ContainsFunc(members, func(m anvilmodel.Member) bool { return m.Name == self.Name }) {
 		// Choose would name this node as well.
 		self.Serving = false
 	}
--- a/anvilgateway/follow.go
+++ b/anvilgateway/follow.go
@@ -58,9 +58,9 @@
 	// apply is called with each batch of changes, one batch at a time.
 	apply func(items []anvilmirror.Item, lapsed bool)
 
-	// position is the store's revision after the last read. Only the reading
-	// goroutine uses it: it may be above a change that a watch has missed, so that
-	// other nodes are not told it.
+	// position is the store's revision after the last read, from which a watch goes
+	// on; 0 asks for all items. Only the reading goroutine uses it: it may be above a
+	// change that a watch has missed, so that other nodes are not told it.
 	position uint64
 
 	mu     sync.Mutex
@@ -170,15 +170,14 @@
 func (f *follower) run() {
 	ctx := f.gateway.background
 	retry := firstRetry
-	whole := true
 	for ctx.Err() == nil {
 		if f.loaded() && !f.direct(time.Now()) {
 			// The mirror may miss changes by the time this node reads the store again.
-			whole = true
+			f.position = 0
 			f.readPeer(ctx)
 			continue
 		}
-		err := f.readStore(ctx, &whole)
+		err := f.readStore(ctx)
 		if err == nil {
 			f.found()
 			retry = firstRetry
@@ -187,7 +186,7 @@
 		}
 		if errorx.IsOfType(err, HistoryGone) {
 			f.gateway.config.Log.Info().Str("event", "store-history-gone").Str("prefix", f.prefix).Send()
-			whole = true
+			f.position = 0
 			continue
 		}
 		if ctx.Err() != nil {
@@ -201,34 +200,32 @@
 	}
 }
 
-// readStore reads all items if whole is set, else what has changed.
-func (f *follower) readStore(ctx context.Context, whole *bool) error {
+// readStore reads what has changed since the position.
+func (f *follower) readStore(ctx context.Context) error {
 	store := &f.gateway.config.Store
-	kind := "watch"
-	var c anvilmirror.Changes
-	var err error
-	if *whole {
-		kind = "read"
+	if f.position == 0 {
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
-		c, err = store.ReadAll(limited, f.prefix)
-		cancel()
-	} else {
-		c, err = store.Watch(ctx, f.prefix, f.position, f.wait())
-	}
-	f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, kind, outcomeLabel(err == nil))
-	if err != nil {
+		defer cancel()
+		c, err := store.ReadAll(limited, f.prefix)
+		f.countRead("read", err)
+		if err == nil {
+			f.position = c.Revision
+			f.take(c, 0)
+		}
 		return err
 	}
-	if *whole {
-		f.position = c.Revision
-		f.take(c, 0)
-	} else {
+	c, err := store.Watch(ctx, f.prefix, f.position, f.wait())
+	f.countRead("watch", err)
+	if err == nil {
 		f.position = max(f.position, c.Revision)
 		// A watch that returns does not confirm that it has missed nothing.
 		f.take(c, -1)
 	}
-	*whole = false
-	return nil
+	return err
+}
+
+func (f *follower) countRead(kind string, err error) {
+	f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, kind, outcomeLabel(err == nil))
 }
 
 // wait returns how long a watch waits: not at all after a failure, so that the
@@ -274,7 +271,7 @@
 	ctx, cancel := context.WithTimeout(f.gateway.background, readTimeout)
 	defer cancel()
 	c, err := f.gateway.config.Store.ReadAll(ctx, f.prefix)
-	f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, "verify", outcomeLabel(err == nil))
+	f.countRead("verify", err)
 	if err != nil {
 		f.gateway.config.Log.Debug().Str("event", "store-verify-failed").Str("prefix", f.prefix).Err(err).Send()
 		return 0, false, err
@@ -323,7 +320,7 @@
 		limited, cancel := context.WithTimeout(ctx, relayTimeout)
 		p, err := f.gateway.peers.Published(limited, m.PeerAddress, f.prefix, f.after(), relayWait)
 		cancel()
-		f.gateway.config.Metrics.Add(anvilmetric.StoreReads, 1, "peer", outcomeLabel(err == nil))
+		f.countRead("peer", err)
 		if err != nil {
 			f.gateway.config.Log.Debug().Str("event", "peer-read-failed").Str("prefix", f.prefix).
 				Str("member", string(m.Name)).Err(err).Send()
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -62,12 +62,11 @@
 	pools      map[anvilmodel.LeafName]*leafPool
 	dialer     *net.Dialer
 
-	// control guards members, answers, random and focus.
-	control   sync.Mutex
-	members   *anvilmember.Membership
-	answers   map[uint64]chan anvilmember.Answer
-	lastToken uint64
-	random    *rand.Rand
+	// control guards members, random and focus.
+	control sync.Mutex
+	members *anvilmember.Membership
+	prober  *anvilpeer.Prober
+	random  *rand.Rand
 	// fleet is the size of the fleet as the balancer was told, seenAt when it was
 	// last that large.
 	fleet int
@@ -110,7 +109,6 @@
 		limiters:   make(map[anvilmodel.ServiceName]*anvilgather.Limiter),
 		pools:      make(map[anvilmodel.LeafName]*leafPool),
 		dialer:     NewDialer(dialTimeout),
-		answers:    make(map[uint64]chan anvilmember.Answer),
 		random:     rand.New(rand.NewPCG(c.Seed, 1)),
 		fleet:      1,
 		focus:      leastFocus,
@@ -162,7 +160,7 @@
 		return errorx.Decorate(err, "listening for other nodes")
 	}
 	group.Go(func() error { return peers.Serve(serving, listener) })
-	g.goRun(g.runMembership)
+	g.goRun(g.prober.Run)
 	g.goRun(g.configuration.run)
 	g.goRun(g.leafs.run)
 	g.goRun(g.verify)
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -65,14 +65,15 @@
 	var kept []limitedPool
 	var gone []*pool
 	for id, p := range g.pools {
-		if !g.balancer.Held(id) {
+		service, held := g.balancer.ServiceOf(id)
+		if !held {
 			delete(g.pools, id)
 			gone = append(gone, p.pool)
 			continue
 		}
 		kept = append(kept, limitedPool{
 			pool:  p.pool,
-			limit: g.balancer.Connections(g.balancer.ServiceOf(id)),
+			limit: g.balancer.Connections(service),
 		})
 	}
 	g.connecting.Unlock()
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -59,9 +60,23 @@
 	g.peers = anvilpeer.NewClient(anvilpeer.ClientConfig{
 		Dial: anvilpeer.DialFunc(g.dialPeer),
 	})
+	g.prober = anvilpeer.NewProber(anvilpeer.ProberConfig{
+		Members:    g.members,
+		Lock:       &g.control,
+		Client:     g.peers,
+		Background: g.background,
+		Go:         g.goRun,
+		BeforeTick: g.updateSelf,
+		Event:      g.logMember,
+	})
 	g.setSeeds(g.config.Seeds)
 }
 
+// dialPeer opens a connection to another node.
+func (g *Gateway) dialPeer(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return NewDialer(peerTimeout).DialContext(ctx, "tcp", address.String())
+}
+
 // setSeeds hands the seeds to the membership as members to ask. They are no list
 // of all members, so that the list does not count as a witness.
 func (g *Gateway) setSeeds(seeds []netip.AddrPort) {
@@ -72,7 +87,7 @@
 			PeerAddress: s,
 		})
 	}
-	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+	g.prober.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		m.SetList(list, now, a)
 		m.SetListUnavailable(now, a)
 	})
@@ -80,7 +95,7 @@
 
 func (g *Gateway) peerHandlers() anvilpeer.Handlers {
 	return anvilpeer.Handlers{
-		Probe: g.answerProbe,
+		Probe: g.prober.Answer,
 		Published: func(ctx context.Context, prefix string, after uint64, wait time.Duration) anvilpeer.Published {
 			switch prefix {
 			case g.configuration.prefix:
@@ -96,24 +111,6 @@
 	}
 }
 
-// runMembership ticks the membership.
-func (g *Gateway) runMembership() {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-g.background.Done():
-			return
-		case <-timer.C:
-		}
-		g.updateSelf()
-		g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
-			m.Tick(now, a)
-			timer.Reset(max(time.Until(m.Next()), time.Millisecond))
-		})
-	}
-}
-
 // updateSelf tells the membership what this node says of itself.
 func (g *Gateway) updateSelf() {
 	state := anvilmember.SelfState{
@@ -122,70 +119,14 @@
 		Serving:  g.table.Load() != nil && g.leafs.loaded() && g.able.Load(),
 		Leaving:  g.leaving.Load(),
 	}
-	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+	g.prober.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		m.UpdateSelf(state, now, a)
 	})
 }
 
-// withMembers calls the membership under its lock and carries out what it asks.
-func (g *Gateway) withMembers(call func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions)) {
-	actions := &anvilmember.Actions{}
-	g.control.Lock()
-	call(g.members, time.Now(), actions)
-	waiting := make([]chan anvilmember.Answer, len(actions.Answers))
-	for i, answer := range actions.Answers {
-		waiting[i] = g.answers[answer.Token]
-		delete(g.answers, answer.Token)
-	}
-	g.control.Unlock()
-	for i, answer := range actions.Answers {
-		if waiting[i] != nil {
-			waiting[i] <- answer
-		}
-	}
-	for _, p := range actions.Probes {
-		g.goRun(func() { g.sendProbe(p) })
-	}
-	for _, e := range actions.Events {
-		g.config.Log.Info().Str("event", e.Kind.String()).Str("member", string(e.Member)).
-			Uint64("incarnation", uint64(e.Incarnation)).Str("cause", e.Cause).Send()
-	}
-}
-
-func (g *Gateway) sendProbe(p anvilmember.Probe) {
-	ctx, cancel := context.WithTimeout(g.background, p.Timeout)
-	defer cancel()
-	reply, err := g.peers.Probe(ctx, p.Address, p.Request)
-	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
-		if err != nil {
-			m.HandleFailure(p.ID, now, a)
-			return
-		}
-		m.HandleReply(p.ID, reply, now, a)
-	})
-}
-
-// answerProbe hands a probe of another node to the membership and waits for
-// what it says.
-func (g *Gateway) answerProbe(ctx context.Context, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool) {
-	answer := make(chan anvilmember.Answer, 1)
-	var token uint64
-	g.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
-		g.lastToken++
-		token = g.lastToken
-		g.answers[token] = answer
-		m.HandleProbe(token, q, now, a)
-	})
-	select {
-	case a := <-answer:
-		return a.Reply, !a.Refused
-	case <-ctx.Done():
-	case <-g.background.Done():
-	}
-	g.control.Lock()
-	delete(g.answers, token)
-	g.control.Unlock()
-	return anvilmember.ProbeReply{}, false
+func (g *Gateway) logMember(e anvilmember.Event) {
+	g.config.Log.Info().Str("event", e.Kind.String()).Str("member", string(e.Member)).
+		Uint64("incarnation", uint64(e.Incarnation)).Str("cause", e.Cause).Send()
 }
 
 // followFleet tells the balancer how many nodes share the bounds on leafs: those
@@ -264,5 +205,5 @@
 			reached++
 		}
 	}
-	return float64(reached) >= r.MinCoverage*float64(len(r.Shards))
+	return reached >= r.NeededShards()
 }
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -1,7 +1,6 @@
 package anvilgather
 
 import (
-	"math"
 	"time"
 
 	"anvilbridge/anvilbalance"
@@ -24,8 +23,6 @@
 	// retryAfterNone is stated when no leaf can be called: the time in which the
 	// platform lists a new one or an ejected one is checked again.
 	retryAfterNone = 400 * time.Millisecond
-	// coverageSlack absorbs the rounding of a floor such as 0.1 * 30.
-	coverageSlack = 1e-9
 )
 
 // Config holds what a request is decided with.
@@ -82,7 +79,6 @@
 	kind      anvilbalance.CallKind
 	overdueAt time.Time
 	overdue   bool
-	hedged    bool
 	ended     bool
 }
 
@@ -95,7 +91,7 @@
 		need:   1,
 	}
 	if c.Route.FansOut() {
-		r.need = max(1, int(math.Ceil(c.Route.MinCoverage*float64(len(c.Services))-coverageSlack)))
+		r.need = c.Route.NeededShards()
 	}
 	reserve := max(shortestReserve, time.Duration(reserveShare*float64(c.Route.Target)))
 	r.answerAt = c.Arrived.Add(c.Route.Target - c.Elapsed - c.Transit - reserve)
@@ -229,12 +225,7 @@
 			Part: c.part,
 			Leaf: c.leaf,
 		})
-	}
-	for i := range r.calls {
-		if c := &r.calls[i]; c.overdue && !c.hedged && !c.ended {
-			c.hedged = true
-			actions = r.hedge(c.part, now, actions)
-		}
+		actions = r.hedge(c.part, now, actions)
 	}
 	for i := range r.parts {
 		p := &r.parts[i]
--- a/anvilmirror/mirror.go
+++ b/anvilmirror/mirror.go
@@ -22,7 +22,8 @@
 // Changes is what happened after a revision.
 type Changes struct {
 	Items []Item
-	// Revision is the one up to which nothing is missing.
+	// Revision is the store's. Nothing up to it is missing from complete changes;
+	// others may lack what a watch has missed.
 	Revision uint64
 	// Complete says that Items are all keys that exist, so that any other key is
 	// deleted.
--- a/anvilmirror/reader.go
+++ b/anvilmirror/reader.go
@@ -1,11 +1,8 @@
 package anvilmirror
 
 import (
-	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"anvilbridge/anvilmodel"
 )
 
@@ -23,7 +20,7 @@
 		}
 	}
 	slices.SortFunc(usable, func(a, b anvilmodel.Member) int {
-		return cmp.Compare(xxhash.Sum64String(string(a.Name)), xxhash.Sum64String(string(b.Name)))
+		return anvilmodel.CompareByHash(a.Name, b.Name)
 	})
 	return usable[:min(count, len(usable))]
 }
@@ -41,5 +38,5 @@
 	}
 	last := others[count-1]
 	return self.Status == anvilmodel.MemberAlive &&
-		xxhash.Sum64String(string(self.Name)) < xxhash.Sum64String(string(last.Name))
+		anvilmodel.CompareByHash(self.Name, last.Name) < 0
 }
--- a/anvilmodel/node.go
+++ b/anvilmodel/node.go
@@ -1,6 +1,11 @@
 package anvilmodel
 
-import "net/netip"
+import (
+	"cmp"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // VMName names an entry VM as the published list does.
 type VMName string
@@ -59,6 +64,12 @@
 	Counter uint32
 }
 
+// CompareByHash orders VM names by their hash, which spreads a choice of the first
+// ones over the fleet. Nodes that know the same names agree on it.
+func CompareByHash(a, b VMName) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
+}
+
 // ListedVM is an entry of the published VM list.
 type ListedVM struct {
 	Name          VMName
--- a/anvilnode/control.go
+++ b/anvilnode/control.go
@@ -1,12 +1,12 @@
 package anvilnode
 
 import (
-	"context"
 	"time"
 
 	"anvilbridge/anvilaudit"
 	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilpeer"
 )
 
 // memberView is an immutable view of the members for the query path.
@@ -37,93 +37,31 @@
 	return v
 }
 
-// runMembership ticks the membership.
-func (n *Node) runMembership() {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-n.background.Done():
-			return
-		case <-timer.C:
-		}
-		n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
-			m.Tick(now, a)
-			timer.Reset(max(time.Until(m.Next()), time.Millisecond))
-		})
-	}
+// newProber joins the membership to the node.
+func (n *Node) newProber() *anvilpeer.Prober {
+	return anvilpeer.NewProber(anvilpeer.ProberConfig{
+		Members:    n.members,
+		Lock:       &n.control,
+		Client:     n.peers,
+		Background: n.background,
+		Go:         n.goRun,
+		Changed:    n.updateMemberView,
+		Settled: func(announced bool) {
+			if announced {
+				n.announcedOnce.Do(n.becomeAnnounced)
+			}
+		},
+		Heard: n.heardRevision,
+		Event: n.recordMember,
+	})
 }
 
-// withMembers calls the membership under its lock and carries out what it asks.
-func (n *Node) withMembers(call func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions)) {
-	actions := &anvilmember.Actions{}
-	n.control.Lock()
-	call(n.members, time.Now(), actions)
+// updateMemberView takes a new list of members over; the lock control is held.
+func (n *Node) updateMemberView() {
 	all := n.members.Members()
 	if held := n.memberView.Load().all; len(held) != len(all) || (len(all) > 0 && &held[0] != &all[0]) {
 		n.memberView.Store(newMemberView(all))
 	}
-	announced := n.members.Announced()
-	waiting := make([]chan anvilmember.Answer, len(actions.Answers))
-	for i, answer := range actions.Answers {
-		waiting[i] = n.answers[answer.Token]
-		delete(n.answers, answer.Token)
-	}
-	n.control.Unlock()
-	if announced {
-		n.announcedOnce.Do(n.becomeAnnounced)
-	}
-	for i, answer := range actions.Answers {
-		if waiting[i] != nil {
-			waiting[i] <- answer
-		}
-	}
-	for _, probe := range actions.Probes {
-		n.goRun(func() { n.sendProbe(probe) })
-	}
-	for _, event := range actions.Events {
-		n.recordMember(event)
-	}
-}
-
-func (n *Node) sendProbe(p anvilmember.Probe) {
-	ctx, cancel := context.WithTimeout(n.background, p.Timeout)
-	defer cancel()
-	reply, err := n.peers.Probe(ctx, p.Address, p.Request)
-	if err != nil {
-		n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
-			m.HandleFailure(p.ID, now, a)
-		})
-		return
-	}
-	n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
-		m.HandleReply(p.ID, reply, now, a)
-	})
-	n.heardRevision(reply.From)
-}
-
-// answerProbe hands a probe of another node to the membership and waits for
-// what it says.
-func (n *Node) answerProbe(ctx context.Context, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool) {
-	answer := make(chan anvilmember.Answer, 1)
-	var token uint64
-	n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
-		n.lastToken++
-		token = n.lastToken
-		n.answers[token] = answer
-		m.HandleProbe(token, q, now, a)
-	})
-	n.heardRevision(q.From)
-	select {
-	case a := <-answer:
-		return a.Reply, !a.Refused
-	case <-ctx.Done():
-	case <-n.background.Done():
-	}
-	n.control.Lock()
-	delete(n.answers, token)
-	n.control.Unlock()
-	return anvilmember.ProbeReply{}, false
 }
 
 var memberEventKinds = map[anvilmember.EventKind]anvilaudit.Kind{
@@ -155,7 +93,7 @@
 // updateSelf tells the membership what this node says of itself.
 func (n *Node) updateSelf() {
 	epoch := n.ticketEpoch()
-	n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+	n.prober.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		m.UpdateSelf(anvilmember.SelfState{
 			Load:        n.admission.load(),
 			Revision:    n.keeper.InForce().Version,
--- a/anvilnode/node.go
+++ b/anvilnode/node.go
@@ -60,9 +60,7 @@
 	members *anvilmember.Membership
 	keeper  *anvilrevision.Keeper
 	random  *mathrand.Rand
-	// answers holds the probes of other nodes that wait for an answer.
-	answers   map[uint64]chan anvilmember.Answer
-	lastToken uint64
+	prober  *anvilpeer.Prober
 
 	memberView atomic.Pointer[memberView]
 	view       atomic.Pointer[view]
@@ -153,7 +151,6 @@
 		config:     c,
 		started:    now,
 		random:     mathrand.New(mathrand.NewPCG(seed, 1)),
-		answers:    make(map[uint64]chan anvilmember.Answer),
 		runs:       make(map[*anvilquery.Query]*queryRun),
 		runners:    make(map[anvilmodel.LeafName]*leafRunner),
 		relays:     make(map[netip.AddrPort]*anvilpeer.RelayClient),
@@ -200,6 +197,7 @@
 		Dial: c.DialPeer,
 		Sent: n.countPeerMessage,
 	})
+	n.prober = n.newProber()
 	n.platform = anvilplatform.New(anvilplatform.Config{
 		ConfigAddress: c.ConfigService,
 		ListAddress:   c.VMList,
@@ -258,7 +256,7 @@
 		Send()
 	n.goRun(func() { n.servePeers(peers) })
 	n.goRun(func() { n.serveCallers(callers) })
-	n.goRun(n.runMembership)
+	n.goRun(n.prober.Run)
 	n.goRun(n.runRevisions)
 	n.goRun(n.runWatch)
 	n.goRun(n.runList)
--- a/anvilnode/platform.go
+++ b/anvilnode/platform.go
@@ -100,7 +100,7 @@
 }
 
 func (n *Node) heardPlatform(sent time.Time) {
-	n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+	n.prober.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		m.PlatformHeard(sent, now, a)
 	})
 }
@@ -121,13 +121,13 @@
 	listed, err := n.platform.ListVMs(ctx)
 	if err != nil {
 		n.config.Log.Warn().Str("event", "vm-list-read-failed").Err(err).Send()
-		n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+		n.prober.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 			m.SetListUnavailable(now, a)
 		})
 		return
 	}
 	n.heardPlatform(sent)
-	n.withMembers(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+	n.prober.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		m.SetList(listed, now, a)
 	})
 	var live, leaving []anvilmodel.VMName
--- /dev/null
+++ b/anvilpeer/prober.go
@@ -0,0 +1,148 @@
+package anvilpeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"anvilbridge/anvilmember"
+)
+
+// ProberConfig joins a Prober to its owner. Fields that may be nil say so.
+type ProberConfig struct {
+	Members *anvilmember.Membership
+	// Lock guards Members. The owner may guard more with it.
+	Lock   sync.Locker
+	Client *Client
+	// Background ends probes under way.
+	Background context.Context
+	// Go runs a task that the owner waits for.
+	Go func(task func())
+	// BeforeTick is called before each tick; it may be nil.
+	BeforeTick func()
+	// Changed is called under the lock after each call of the membership; it may be
+	// nil.
+	Changed func()
+	// Settled is called before answers and probes are sent, and told whether the
+	// node's incarnation is final; it may be nil.
+	Settled func(announced bool)
+	// Heard is called with what another node says of itself; it may be nil.
+	Heard func(from anvilmember.Item)
+	// Event is called with each change.
+	Event func(anvilmember.Event)
+}
+
+// Prober carries out what a membership asks for: it ticks it, sends its probes and
+// answers those of other nodes. It is safe for concurrent use.
+type Prober struct {
+	config ProberConfig
+	// answers holds the probes of other nodes that wait for an answer; the lock of
+	// the configuration guards it.
+	answers   map[uint64]chan anvilmember.Answer
+	lastToken uint64
+}
+
+// NewProber returns a Prober that does not tick yet.
+func NewProber(c ProberConfig) *Prober {
+	if c.BeforeTick == nil {
+		c.BeforeTick = func() {}
+	}
+	if c.Changed == nil {
+		c.Changed = func() {}
+	}
+	if c.Settled == nil {
+		c.Settled = func(bool) {}
+	}
+	if c.Heard == nil {
+		c.Heard = func(anvilmember.Item) {}
+	}
+	return &Prober{
+		config:  c,
+		answers: make(map[uint64]chan anvilmember.Answer),
+	}
+}
+
+// Run ticks the membership until the background context ends.
+func (p *Prober) Run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.config.Background.Done():
+			return
+		case <-timer.C:
+		}
+		p.config.BeforeTick()
+		p.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+			m.Tick(now, a)
+			timer.Reset(max(time.Until(m.Next()), time.Millisecond))
+		})
+	}
+}
+
+// With calls the membership under its lock and carries out what it asks for.
+func (p *Prober) With(call func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions)) {
+	actions := &anvilmember.Actions{}
+	p.config.Lock.Lock()
+	call(p.config.Members, time.Now(), actions)
+	p.config.Changed()
+	announced := p.config.Members.Announced()
+	waiting := make([]chan anvilmember.Answer, len(actions.Answers))
+	for i, answer := range actions.Answers {
+		waiting[i] = p.answers[answer.Token]
+		delete(p.answers, answer.Token)
+	}
+	p.config.Lock.Unlock()
+	p.config.Settled(announced)
+	for i, answer := range actions.Answers {
+		if waiting[i] != nil {
+			waiting[i] <- answer
+		}
+	}
+	for _, probe := range actions.Probes {
+		p.config.Go(func() { p.send(probe) })
+	}
+	for _, event := range actions.Events {
+		p.config.Event(event)
+	}
+}
+
+func (p *Prober) send(probe anvilmember.Probe) {
+	ctx, cancel := context.WithTimeout(p.config.Background, probe.Timeout)
+	defer cancel()
+	reply, err := p.config.Client.Probe(ctx, probe.Address, probe.Request)
+	p.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+		if err != nil {
+			m.HandleFailure(probe.ID, now, a)
+			return
+		}
+		m.HandleReply(probe.ID, reply, now, a)
+	})
+	if err == nil {
+		p.config.Heard(reply.From)
+	}
+}
+
+// Answer hands a probe of another node to the membership and waits for what it
+// says; ok is false if it says nothing.
+func (p *Prober) Answer(ctx context.Context, q anvilmember.ProbeRequest) (reply anvilmember.ProbeReply, ok bool) {
+	answer := make(chan anvilmember.Answer, 1)
+	var token uint64
+	p.With(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
+		p.lastToken++
+		token = p.lastToken
+		p.answers[token] = answer
+		m.HandleProbe(token, q, now, a)
+	})
+	p.config.Heard(q.From)
+	select {
+	case a := <-answer:
+		return a.Reply, !a.Refused
+	case <-ctx.Done():
+	case <-p.config.Background.Done():
+	}
+	p.config.Lock.Lock()
+	delete(p.answers, token)
+	p.config.Lock.Unlock()
+	return anvilmember.ProbeReply{}, false
+}
--- a/anvilroute/route.go
+++ b/anvilroute/route.go
@@ -3,6 +3,7 @@
 package anvilroute
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -50,6 +51,14 @@
 	return len(r.Shards) > 0
 }
 
+// NeededShards returns the fewest shards that an answer may hold; at least 1.
+func (r *Route) NeededShards() int {
+	return max(1, int(math.Ceil(r.MinCoverage*float64(len(r.Shards))-coverageSlack)))
+}
+
+// coverageSlack absorbs the rounding of a floor such as 0.1 * 30.
+const coverageSlack = 1e-9
+
 // Service is a set of interchangeable leafs.
 type Service struct {
 	Name anvilmodel.ServiceName
