--- a/anvilgateway/bench_test.go
+++ b/anvilgateway/bench_test.go
@@ -41,8 +41,7 @@
 	}
 	c.Routes = []anvilroute.Route{route}
 	s.configure(c)
-	g := startGateway(b, s)
-	eventually(b, "the gateway is ready", g.ready)
+	g := startReady(b, s)
 	b.ReportAllocs()
 	for i := range b.N {
 		got, err := g.send(b.Context(), http.MethodGet, "/query/x", fmt.Sprint("id-", i))
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -277,6 +277,14 @@
 	return g
 }
 
+// startReady runs a gateway until the test ends and waits until it is ready.
+func startReady(tb testing.TB, s *store, seeds ...netip.AddrPort) *running {
+	tb.Helper()
+	g := startGateway(tb, s, seeds...)
+	eventually(tb, "the gateway is ready", g.ready)
+	return g
+}
+
 func eventually(tb testing.TB, what string, condition func() bool) {
 	tb.Helper()
 	for deadline := time.Now().Add(patience); !condition(); time.Sleep(5 * time.Millisecond) {
@@ -378,3 +386,12 @@
 		}},
 	}
 }
+
+// oneRoute is a configuration with a route to service "a".
+func oneRoute(r anvilroute.Route) anvilroute.Configuration {
+	return anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a")},
+		Routes:   []anvilroute.Route{r},
+	}
+}
--- a/anvilgateway/gateway_test.go
+++ b/anvilgateway/gateway_test.go
@@ -40,8 +40,7 @@
 			MinCoverage: 0.6,
 		}},
 	})
-	g := startGateway(t, s)
-	eventually(t, "the gateway is ready", g.ready)
+	g := startReady(t, s)
 	got, err := g.send(t.Context(), http.MethodGet, "/query/x", "id-1")
 	if err != nil {
 		t.Fatal(err)
@@ -104,13 +103,8 @@
 			}
 		}))
 	}
-	s.configure(anvilroute.Configuration{
-		Version:  1,
-		Services: []anvilroute.Service{service("a")},
-		Routes:   []anvilroute.Route{single("book", "/book/", "a", true)},
-	})
-	g := startGateway(t, s)
-	eventually(t, "the gateway is ready", g.ready)
+	s.configure(oneRoute(single("book", "/book/", "a", true)))
+	g := startReady(t, s)
 	got, err := g.send(t.Context(), http.MethodPost, "/book/1", "id-1")
 	if err != nil {
 		t.Fatal(err)
@@ -129,13 +123,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	s.register(startLeaf(t, "free", "a", goodLeaf("free", "done")))
-	s.configure(anvilroute.Configuration{
-		Version:  1,
-		Services: []anvilroute.Service{service("a")},
-		Routes:   []anvilroute.Route{single("book", "/book/", "a", true)},
-	})
-	g := startGateway(t, s)
-	eventually(t, "the gateway is ready", g.ready)
+	s.configure(oneRoute(single("book", "/book/", "a", true)))
+	g := startReady(t, s)
 	for i := range 20 {
 		got, err := g.send(t.Context(), http.MethodPost, "/book/1", fmt.Sprint("id-", i))
 		if err != nil {
@@ -168,13 +157,8 @@
 	t.Cleanup(func() { _ = listener.Close() })
 	s := newStore()
 	s.register(entry("a1", "a", listener.Addr().String()))
-	s.configure(anvilroute.Configuration{
-		Version:  1,
-		Services: []anvilroute.Service{service("a")},
-		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
-	})
-	g := startGateway(t, s)
-	eventually(t, "the gateway is ready", g.ready)
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	g := startReady(t, s)
 	for i := range 30 {
 		id := fmt.Sprint("id-", i)
 		got, err := g.send(t.Context(), http.MethodGet, "/get/x", id)
@@ -218,13 +202,8 @@
 		<-r.Context().Done()
 		close(ended)
 	}))
-	s.configure(anvilroute.Configuration{
-		Version:  1,
-		Services: []anvilroute.Service{service("a")},
-		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
-	})
-	g := startGateway(t, s)
-	eventually(t, "the gateway is ready", g.ready)
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	g := startReady(t, s)
 	ctx, leave := context.WithCancel(t.Context())
 	sent := make(chan error, 1)
 	go func() {
@@ -251,13 +230,8 @@
 		<-release
 		goodLeaf("a1", "done")(w, r)
 	}))
-	s.configure(anvilroute.Configuration{
-		Version:  1,
-		Services: []anvilroute.Service{service("a")},
-		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
-	})
-	g := startGateway(t, s)
-	eventually(t, "the gateway is ready", g.ready)
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	g := startReady(t, s)
 	answers := make(chan answer, 1)
 	go func() {
 		got, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-1")
@@ -285,13 +259,8 @@
 func TestLearnsFromOtherNode(t *testing.T) {
 	s := newStore()
 	s.register(startLeaf(t, "a1", "a", goodLeaf("a1", "done")))
-	s.configure(anvilroute.Configuration{
-		Version:  1,
-		Services: []anvilroute.Service{service("a")},
-		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
-	})
-	first := startGateway(t, s)
-	eventually(t, "the first node is ready", first.ready)
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	first := startReady(t, s)
 	away := newStore()
 	away.down.Store(true)
 	away.configuration.Store(s.configuration.Load())
@@ -299,8 +268,7 @@
 		away.leafs.Store(key, l)
 		return true
 	})
-	second := startGateway(t, away, first.addresses.Peer)
-	eventually(t, "the second node is ready", second.ready)
+	second := startReady(t, away, first.addresses.Peer)
 	got, err := second.send(t.Context(), http.MethodGet, "/get/x", "id-1")
 	if err != nil {
 		t.Fatal(err)
@@ -315,14 +283,9 @@
 func TestConfigurationDespiteSilentWatch(t *testing.T) {
 	s := newStore()
 	s.register(startLeaf(t, "a1", "a", goodLeaf("a1", "done")))
-	c := anvilroute.Configuration{
-		Version:  1,
-		Services: []anvilroute.Service{service("a")},
-		Routes:   []anvilroute.Route{single("get", "/get/", "a", false)},
-	}
+	c := oneRoute(single("get", "/get/", "a", false))
 	s.configure(c)
-	g := startGateway(t, s)
-	eventually(t, "the gateway is ready", g.ready)
+	g := startReady(t, s)
 	s.mute.Store(true)
 	c.Version = 2
 	c.Routes = append(c.Routes, single("new", "/new/", "a", false))
@@ -341,8 +304,7 @@
 		Version: 1,
 	})
 	// Nobody answers at the seed.
-	g := startGateway(t, s, freeAddress(t))
-	eventually(t, "the gateway is ready", g.ready)
+	g := startReady(t, s, freeAddress(t))
 	got, err := g.client.Get("http://" + g.addresses.Directory.String() + "/addresses")
 	if err != nil {
 		t.Fatal(err)
@@ -376,8 +338,7 @@
 			MinCoverage: 0.5,
 		}},
 	})
-	other := startGateway(t, s)
-	eventually(t, "the other node is ready", other.ready)
+	other := startReady(t, s)
 	g := startGateway(t, s, other.addresses.Peer)
 	named := func() int {
 		resp, err := g.client.Get("http://" + g.addresses.Directory.String() + "/addresses")
