Test that an isolated node trusts no unknown connection

The one in the limit for new calls was needless: a waiting call to a cold leaf is refused as soon as the node is isolated, and no new one is admitted, so nothing is left for the limit to hold back. Ruled out: that a pause leaves calls waiting. The pause itself marks the queue for pruning; TestPause fails without the check in barred.

The one for connections of unknown incarnation is needed: a warm leaf's address may lead to a process that has just started. TestIsolation fails without it ("call was started while the node was isolated").

Conclusion: each of the two remaining checks has a test that fails without it.

--- a/anvilleaf/dispatcher_test.go
+++ b/anvilleaf/dispatcher_test.go
@@ -157,6 +157,29 @@
 	}
 }
 
+// TestIsolation guards against a node without contact that sends a call over a
+// connection of unknown incarnation, which may lead to a process that has just
+// started and gets calls from other nodes.
+func TestIsolation(t *testing.T) {
+	n := newNode(2, 0)
+	n.sim.blind = true
+	n.adopt(10, false, 0)
+	n.sim.runFor(margin + time.Millisecond)
+	n.isolated = true
+	n.do(n.d.SetIsolated(true, n.sim.now, nil))
+	early := n.submit(time.Second, 1, false)
+	n.sim.runFor(time.Second / 2)
+	if n.on[early] != 0 {
+		t.Error("call was started while the node was isolated")
+	}
+	n.isolated = false
+	n.do(n.d.SetIsolated(false, n.sim.now, nil))
+	n.sim.runFor(100 * time.Millisecond)
+	if r := n.last[early]; r.Result != anvilmodel.CallOK {
+		t.Errorf("call after the isolation: %+v", r)
+	}
+}
+
 // TestQueue guards against a queue in the wrong order, a wrong call displaced,
 // a late refusal of a call that cannot make it, and hedges that crowd out calls.
 func TestQueue(t *testing.T) {
--- a/anvilleaf/run.go
+++ b/anvilleaf/run.go
@@ -47,7 +47,7 @@
 	if d.away() {
 		return 0
 	}
-	if d.judgement.cold && (d.isolated || now.Before(d.quietUntil)) {
+	if d.judgement.cold && now.Before(d.quietUntil) {
 		return 0
 	}
 	switch d.breaker.state(now) {
