Log unreadable hints of leafs, and hold requests to the header limit

Cause: a load or cold time that could not be read counted as not stated without a log line, and so did a failure to read the processor time. Of the limits in the configuration only that of the body was enforced; three more were decoded and never used.

Now the adapter names the header that it could not read and the gateway logs it with request, leaf and value. Headers over the limit are refused with 431. What the server cannot change while it runs (its two timeouts) and the cold time after a start, which the leaf's entry states, are no longer decoded. The idle timeout for callers goes from 60 s to 5 minutes, so that a deployment with a longer limit meets no closed connection.

Ruled out: holding idle connections to the configured time. The server reads its timeout from a field that may not change while it runs, and a connection kept longer harms nobody.

Tests: TestReplyHeaders, TestServesQueriesAndRefusals.

--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -206,6 +206,11 @@
 		return &reply{err: err}
 	}
 	leaf := g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
+	if leaf.Unreadable != "" {
+		g.config.Log.Warn().Str("event", "leaf-header-unreadable").Str("request", out.id).
+			Str("leaf", string(leaf.Instance)).Str("header", leaf.Unreadable).
+			Str("value", resp.Header.Get(leaf.Unreadable)).Send()
+	}
 	if leaf.ID != "" && leaf.ID != out.id {
 		return &reply{
 			err: Crossed.New("the reply answers request %s", leaf.ID),
--- a/anvilgateway/config.go
+++ b/anvilgateway/config.go
@@ -40,6 +40,9 @@
 	Load      int
 	// ColdFor is how long the leaf says that it stays cold.
 	ColdFor time.Duration
+	// Unreadable is the name of a header that counts as absent because it could not
+	// be read; empty if there is none.
+	Unreadable string
 }
 
 // Protocol maps the headers of callers and leafs to domain types and back.
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -158,7 +158,11 @@
 	case running > int64(g.config.MaxRequests):
 		return newRefusal(http.StatusServiceUnavailable, "too-many-requests", retryAfterFull)
 	}
-	body, refused := readRequestBody(r, table.Limits().BodyBytes)
+	limits := table.Limits()
+	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+		return newRefusal(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", 0)
+	}
+	body, refused := readRequestBody(r, limits.BodyBytes)
 	if refused != nil {
 		return refused
 	}
@@ -181,6 +185,18 @@
 	return r.URL.RequestURI()
 }
 
+// headerBytes returns the size of the request's header lines.
+func headerBytes(r *http.Request) int64 {
+	const separators = len(": ") + len("\r\n")
+	size := 0
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return int64(size)
+}
+
 func readRequestBody(r *http.Request, limit int64) ([]byte, *refusal) {
 	if limit <= 0 {
 		limit = maxReplyBytes
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -24,10 +24,12 @@
 const (
 	// headerTimeout bounds reading the head of a request.
 	headerTimeout = 5 * time.Second
-	// idleTimeout is how long a caller's connection may be idle; it is above what
-	// operators set, so that a caller never meets a closed connection.
-	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds the head of a request.
+	// idleTimeout is how long a caller's connection may be idle. The server cannot
+	// change it while it runs, so it is far above the seconds that operators set: a
+	// caller that keeps to their limit never meets a closed connection.
+	idleTimeout = 5 * time.Minute
+	// maxHeaderBytes bounds the head of a request before the limit of the
+	// configuration, usually a few KB, is looked at.
 	maxHeaderBytes = 64 << 10
 	// housekeepingPeriod is the time between two rounds of health checks and
 	// closing of surplus connections.
@@ -226,7 +228,9 @@
 			g.followFleet(now)
 		}
 		if round%trimRounds == 0 {
-			g.load.measure(now, g.config.Cores)
+			if err := g.load.measure(now, g.config.Cores); err != nil {
+				g.config.Log.Warn().Str("event", "load-unknown").Err(err).Send()
+			}
 			g.trimPools(now)
 			g.report()
 		}
--- a/anvilgateway/gateway_test.go
+++ b/anvilgateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 	s.configure(anvilroute.Configuration{
 		Version:  1,
 		Services: []anvilroute.Service{service("a"), service("b"), service("c")},
+		Limits: anvilroute.Limits{
+			HeaderBytes: 1 << 10,
+		},
 		Routes: []anvilroute.Route{{
 			Name:        "query",
 			Host:        "lots.example",
@@ -60,6 +64,7 @@
 	}{
 		{"/none/", "id-2", http.StatusNotFound},
 		{"/query/x", "", http.StatusBadRequest},
+		{"/query/x", strings.Repeat("long", 1<<8), http.StatusRequestHeaderFieldsTooLarge},
 	} {
 		got, err := g.send(t.Context(), http.MethodGet, c.path, c.id)
 		if err != nil {
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -161,6 +161,7 @@
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
+	// The check reads no hint of the reply, so unreadable ones do not matter.
 	said := g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
 	return resp.StatusCode == http.StatusOK && (said.Instance == "" || said.Instance == l.ID)
 }
--- a/anvilgateway/load.go
+++ b/anvilgateway/load.go
@@ -22,11 +22,11 @@
 }
 
 // measure takes the processor time used since the last call. One goroutine calls
-// it.
-func (l *processorLoad) measure(now time.Time, cores float64) {
+// it. After an error the load keeps its value.
+func (l *processorLoad) measure(now time.Time, cores float64) error {
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return
+		return err
 	}
 	used := time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 	if passed := now.Sub(l.at); !l.at.IsZero() && passed > 0 {
@@ -36,4 +36,5 @@
 	}
 	l.used = used
 	l.at = now
+	return nil
 }
--- a/anvilroute/route.go
+++ b/anvilroute/route.go
@@ -69,16 +69,12 @@
 	// ColdRate is the number of requests a second that a cold leaf tolerates from
 	// all nodes together; 0 means that no rate is stated.
 	ColdRate float64
-	// ColdTime is how long a leaf stays cold after its start.
-	ColdTime time.Duration
 }
 
 // Limits bound what a caller may send. Zero fields are not limited.
 type Limits struct {
-	HeaderBytes   int64
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int64
+	BodyBytes   int64
 }
 
 // Configuration is one version of what the operators have set.
