Keep connections to leafs past the deadline of their last call

Cause: before an idle connection is used again the gateway looks whether the leaf has closed it. That look fails once the deadline set for the last call has passed, and the connection was thrown away: a call to a leaf that had been idle for longer than a request may take paid for a new one, 6 ms each.

TestConnectionOutlivesTheDeadlineOfItsCall failed before.

--- a/anvilgateway/connection.go
+++ b/anvilgateway/connection.go
@@ -78,6 +78,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	// Past the deadline of the last call the connection could not be looked at. An
+	// error shows in the read that follows.
+	_ = c.SetReadDeadline(time.Time{})
 	quiet := false
 	var probe [1]byte
 	err := c.raw.Read(func(fd uintptr) bool {
--- a/anvilgateway/gateway_test.go
+++ b/anvilgateway/gateway_test.go
@@ -176,6 +176,41 @@
 	}
 }
 
+// Pattern: a leaf gets a call now and then. Guards against connections that are
+// given up once the deadline of their last call has passed, so that the next call
+// pays for a new one.
+func TestConnectionOutlivesTheDeadlineOfItsCall(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	connections := make(chan string, 100)
+	s := newStore()
+	s.register(startLeaf(t, "a1", "a", func(w http.ResponseWriter, r *http.Request) {
+		connections <- r.RemoteAddr
+		goodLeaf("a1", "done")(w, r)
+	}))
+	route := single("get", "/get/", "a", false)
+	route.Timeout = timeout
+	s.configure(oneRoute(route))
+	g := startReady(t, s)
+	served := func(id string) (connection string) {
+		eventually(t, "a request is answered in time", func() bool {
+			got, err := g.send(t.Context(), http.MethodGet, "/get/x", id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for len(connections) > 0 {
+				connection = <-connections
+			}
+			return got.status == http.StatusOK
+		})
+		return connection
+	}
+	first := served("id-1")
+	time.Sleep(3 * timeout)
+	if diff := cmp.Diff(first, served("id-2")); diff != "" {
+		t.Errorf("connections of the two calls (-first +second):\n%s", diff)
+	}
+}
+
 // answerTwice answers every request on a connection twice.
 func answerTwice(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
