Set the deadline of a call to a leaf once

Cause: since idle connections are looked at whatever the deadline of their last call, each call set its deadline twice: to none before the look and to its own before the write. Each costs a change of the runtime's timers.

Now the connection has its call's deadline when it is taken or opened.

Conclusion: kept because it is less code on the path, not for speed.

--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -115,12 +115,13 @@
 // byte was sent.
 func (g *Gateway) call(ctx context.Context, out *outbound, leaf anvilbalance.Leaf) *reply {
 	p := g.pool(leaf)
-	conn := p.take(time.Now(), out.nonIdempotent)
+	deadline := out.deadline.Add(replySlack)
+	conn := p.take(time.Now(), deadline, out.nonIdempotent)
 	for {
 		opened := conn == nil
 		if opened {
 			var err error
-			if conn, err = p.dial(ctx); err != nil {
+			if conn, err = p.dial(ctx, deadline); err != nil {
 				return &reply{
 					outcome: anvilbalance.OutcomeUnsent,
 					err:     err,
@@ -144,8 +145,6 @@
 	message = append(message, out.head...)
 	message = g.config.Protocol.AppendCall(message, max(left, time.Millisecond), leaf.ID)
 	message = append(message, '\r', '\n')
-	// An error shows in the write or read that follows.
-	_ = conn.SetDeadline(out.deadline.Add(replySlack))
 	stop := context.AfterFunc(ctx, func() {
 		_ = conn.SetDeadline(time.Unix(1, 0))
 	})
--- a/anvilgateway/connection.go
+++ b/anvilgateway/connection.go
@@ -78,9 +78,6 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	// Past the deadline of the last call the connection could not be looked at. An
-	// error shows in the read that follows.
-	_ = c.SetReadDeadline(time.Time{})
 	quiet := false
 	var probe [1]byte
 	err := c.raw.Read(func(fd uintptr) bool {
@@ -110,14 +107,18 @@
 	}
 }
 
-// take returns an idle connection, nil if there is none that may be used. Only
-// connections used within the last moment are returned if fresh is set.
-func (p *pool) take(now time.Time, fresh bool) *leafConn {
+// take returns an idle connection with the deadline set, nil if there is none that
+// may be used. Only connections used within the last moment are returned if fresh is
+// set.
+func (p *pool) take(now, deadline time.Time, fresh bool) *leafConn {
 	for {
 		c := p.pop()
 		if c == nil {
 			return nil
 		}
+		// Past the deadline of its last call a connection cannot be looked at. An error
+		// shows in the write that follows.
+		_ = c.SetDeadline(deadline)
 		idle := now.Sub(c.idleSince)
 		if idle < c.idleFor && (!fresh || idle < freshIdle) && c.quiet() {
 			return c
@@ -139,7 +140,8 @@
 	return c
 }
 
-func (p *pool) dial(ctx context.Context) (*leafConn, error) {
+// dial opens a connection with the deadline set; a zero one is none.
+func (p *pool) dial(ctx context.Context, deadline time.Time) (*leafConn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.address.String())
 	if err != nil {
 		return nil, err
@@ -149,6 +151,8 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	// An error shows in the write that follows.
+	_ = conn.SetDeadline(deadline)
 	return &leafConn{
 		Conn:    conn,
 		raw:     raw,
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -104,7 +104,7 @@
 		g.goRun(func() {
 			for range min(warmConnections, g.idleLimit(l)) {
 				ctx, cancel := context.WithTimeout(g.background, dialTimeout)
-				conn, err := p.dial(ctx)
+				conn, err := p.dial(ctx, time.Time{})
 				cancel()
 				if err != nil {
 					return
@@ -141,7 +141,7 @@
 func (g *Gateway) healthy(l anvilbalance.Leaf, path string) bool {
 	ctx, cancel := context.WithTimeout(g.background, checkTimeout)
 	defer cancel()
-	conn, err := g.pool(l).dial(ctx)
+	conn, err := g.pool(l).dial(ctx, time.Now().Add(checkTimeout))
 	if err != nil {
 		return false
 	}
