Keep calls in the failure domain unless its leaf queues or is slow

A leaf of another domain was taken for an advantage of 1.3 in latency, while two leafs of a shard commonly differ by 1.6 (speeds 0.8 to 1.3), so that the faster leaf drew the calls of all domains.

TestOwnDomainGoesFirstUntilItQueues fails at 1.3 (20 of 300 calls stay).

--- a/anvilbalance/balance_test.go
+++ b/anvilbalance/balance_test.go
@@ -94,6 +94,52 @@
 	}
 }
 
+// Pattern: the leafs of a shard stand in several failure domains and differ in
+// speed by half. Guards against parts that are fetched from another domain for a
+// small gain, and against calls that queue in the own domain while others are free.
+func TestOwnDomainGoesFirstUntilItQueues(t *testing.T) {
+	b := newBalancer(anvilbalance.Config{
+		FailureDomain: "west",
+	}, anvilroute.Service{}, 0)
+	for i, domain := range []anvilmodel.FailureDomain{"west", "east", "north"} {
+		l := leaf(i)
+		l.FailureDomain = domain
+		b.SetLeaf(l, start)
+	}
+	// The leafs of the other shards make the latency of the route.
+	other := leaf(3)
+	other.Service = "other"
+	b.SetLeaf(other, start)
+	now := start
+	calls := make(map[anvilmodel.FailureDomain]int)
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		for range 4 {
+			l, _ := b.Pick(anvilbalance.Choice{Service: "other"}, now)
+			finish(b, l, anvilbalance.OutcomeGood, 20*time.Millisecond, now)
+		}
+		l, _ := pick(b, anvilbalance.CallFirst, now)
+		elapsed := 20 * time.Millisecond
+		if l.FailureDomain == "west" {
+			elapsed = 30 * time.Millisecond
+		}
+		finish(b, l, anvilbalance.OutcomeGood, elapsed, now)
+		calls[l.FailureDomain]++
+	}
+	if calls["west"] < 270 {
+		t.Errorf("seed %d: %d of 300 calls stayed in the failure domain", seed, calls["west"])
+	}
+	queued := 0
+	for range 6 {
+		if l, _ := pick(b, anvilbalance.CallFirst, now); l.FailureDomain == "west" {
+			queued++
+		}
+	}
+	if queued > 2 {
+		t.Errorf("seed %d: %d of 6 calls at a time went to the 2 slots in the failure domain", seed, queued)
+	}
+}
+
 // Guards against calls to a leaf that is draining, in a failure domain that is
 // out, removed or tried before.
 func TestUnusableLeafs(t *testing.T) {
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -35,8 +35,9 @@
 	// failurePenalty is the factor on the cost of a leaf that always fails.
 	failurePenalty = 6.0
 	// domainPenalty is the factor on the cost of a leaf in another failure domain,
-	// for the bytes between domains. The time is part of the latency.
-	domainPenalty = 1.3
+	// for the bytes between domains. The time is part of the latency. It outweighs the
+	// usual difference between two leafs (1.6) and not a queue or a slow leaf.
+	domainPenalty = 2.0
 	// coldPenalty is the factor on the cost of a cold leaf.
 	coldPenalty = 1.5
 	// jitter spreads the choices between leafs of the same cost.
