Open connections early only once the fleet is known

Cause: at the start of a fleet each node knows few others for a moment, takes itself for one of the nodes that callers are sent to and opens two connections to every leaf of a query.

Now a node opens connections early when the known fleet has not grown for two seconds. The size of the fleet and its memory move into anvilbalance, where tests need no network.

Ruled out: not opening early at all (the first query to a leaf then waits 6 ms for its connection).

Tests: TestFleetSettles; TestFleetRemembersTheOthers for what moved.

--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -53,12 +53,15 @@
 	// The locks are taken in the order control, a follower's, balancing, connecting;
 	// none is waited for while a later one is held.
 
-	// balancing guards balancer, splitter, clock, limiters, fleet, active and seenAt.
+	// balancing guards balancer, splitter, clock, limiters, fleet and active.
 	balancing sync.Mutex
 	balancer  *anvilbalance.Balancer
 	splitter  *anvilroute.Splitter
 	clock     *anvilgather.CallerClock
 	limiters  map[anvilmodel.ServiceName]*anvilgather.Limiter
+	fleet     anvilbalance.Fleet
+	// active says that callers are sent to this node.
+	active bool
 
 	connecting sync.Mutex
 	pools      map[anvilmodel.LeafName]*leafPool
@@ -69,12 +72,6 @@
 	members *anvilmember.Membership
 	prober  *anvilpeer.Prober
 	random  *rand.Rand
-	// fleet is the size of the fleet as the balancer was told, seenAt when it was
-	// last that large.
-	fleet int
-	// active says that callers are sent to this node.
-	active bool
-	seenAt time.Time
 	// focus is the number of nodes that callers are sent to.
 	focus int
 	load  processorLoad
@@ -112,7 +109,6 @@
 		pools:      make(map[anvilmodel.LeafName]*leafPool),
 		dialer:     NewDialer(dialTimeout),
 		random:     rand.New(rand.NewPCG(c.Seed, 1)),
-		fleet:      1,
 		focus:      leastFocus,
 	}
 	c.Balance.FailureDomain = c.FailureDomain
@@ -254,7 +250,7 @@
 	m := g.config.Metrics
 	g.balancing.Lock()
 	known, ejected := g.balancer.Counts()
-	fleet := g.fleet
+	fleet := g.fleet.Size()
 	period, _ := g.balancer.Pauses()
 	g.balancing.Unlock()
 	m.Set(anvilmetric.LeafsKnown, float64(known))
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -78,7 +78,7 @@
 	}
 	g.connecting.Unlock()
 	leafs := g.balancer.Leafs(now)
-	active := g.active
+	active := g.active && g.fleet.Settled(now)
 	g.balancing.Unlock()
 	for _, p := range gone {
 		p.close()
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -19,9 +19,6 @@
 const (
 	// peerTimeout bounds opening a connection to another node.
 	peerTimeout = time.Second
-	// fleetMemory is how long the largest fleet seen divides the bounds on leafs: a
-	// node that is cut off must not take the shares of the others over at once.
-	fleetMemory = 10 * time.Second
 	// capacityUnit is what the capacity of a member is counted in: parts of a core.
 	capacityUnit = 100
 	// leastFocus is the number of nodes that callers are sent to at least, so that
@@ -165,11 +162,8 @@
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
 	g.lookAtLeafs(now)
-	if count >= g.fleet || now.Sub(g.seenAt) > fleetMemory {
-		g.fleet = max(count, 1)
-		g.seenAt = now
-	}
-	share := g.fleet
+	g.fleet.Observe(count, now)
+	share := g.fleet.Size()
 	g.active = active
 	if active {
 		share = min(share, int(math.Ceil(float64(focus)*focusMargin)))
