Pass the store's copy on through a tree of nodes

Cause: every node but two followed the first of the two nodes that read the store. Each follower asks twice in 0.7 s, so that at 410 nodes the one node answers 1,160 questions a second: an eighth of a core and more than ten times the 4 KB/s that a node may spend on control.

Now the nodes form a tree by the hash of their names: each is followed by 16 at most, 410 nodes are two levels deep below the readers, and up to 34 nodes are one level deep as before, with the followers divided between the readers. A node whose source fails follows that one's neighbour, then the readers, then the store. In a deeper tree a node asks less often, and a copy may be older by one wait for each level.

Weighed: more readers of the store (its calls are priced and bounded), a push over drpc streams (a stream that goes silent needs the same questions), passing the copy on with the probes (its messages are bounded at 600 bytes).

Tests: TestFollowersAreSpread, TestFollowersOutliveTheirSource.

--- a/anvilgateway/follow.go
+++ b/anvilgateway/follow.go
@@ -10,7 +10,6 @@
 
 	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmirror"
-	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
 )
 
@@ -32,14 +31,17 @@
 	// does not answer.
 	firstRetry   = 50 * time.Millisecond
 	longestRetry = time.Second
-	// relayWait is how long a question to another node waits for a change. The
-	// answer also says how long ago the store was heard, which has to be known well
-	// within the time in which changes are due.
+	// relayWait is how long a question to another node waits for a change, for each
+	// level of the tree on which the copy is passed on: in a large fleet a node asks
+	// less often, because others ask it. The answer also says how long ago the store
+	// was heard, which has to be known well within the time in which changes are due.
 	relayWait = 700 * time.Millisecond
-	// relayTimeout bounds such a question.
-	relayTimeout = relayWait + 400*time.Millisecond
-	// staleAge is the age from which another node's copy is not relied on: the store
-	// was due to confirm it once a verifyPeriod.
+	// longestRelayWait bounds it for any fleet.
+	longestRelayWait = 4 * relayWait
+	// relayMargin is added to the wait for the answer's way.
+	relayMargin = 400 * time.Millisecond
+	// staleAge is the age from which a reader's copy is not relied on: the store was
+	// due to confirm it once a verifyPeriod. Each level below may add one wait.
 	staleAge = 1500 * time.Millisecond
 	// directTime is how long a node reads the store itself after no other node could
 	// be relied on.
@@ -113,7 +115,7 @@
 
 // since answers another node; it waits for a change if there is none.
 func (f *follower) since(ctx context.Context, after uint64, wait time.Duration) anvilpeer.Published {
-	timer := time.NewTimer(min(wait, relayWait))
+	timer := time.NewTimer(min(wait, longestRelayWait))
 	defer timer.Stop()
 	for {
 		f.mu.Lock()
@@ -316,9 +318,12 @@
 // readPeer takes what another node has over. If none can be relied on, this node
 // reads the store itself for a while.
 func (f *follower) readPeer(ctx context.Context) {
-	for _, m := range f.gateway.storeReaders() {
-		limited, cancel := context.WithTimeout(ctx, relayTimeout)
-		p, err := f.gateway.peers.Published(limited, m.PeerAddress, f.prefix, f.after(), relayWait)
+	place := f.gateway.place()
+	wait := min(time.Duration(max(place.Depth, 1))*relayWait, longestRelayWait)
+	stale := staleAge + time.Duration(max(place.Level-1, 0))*wait
+	for _, m := range place.Sources {
+		limited, cancel := context.WithTimeout(ctx, wait+relayMargin)
+		p, err := f.gateway.peers.Published(limited, m.PeerAddress, f.prefix, f.after(), wait)
 		cancel()
 		f.countRead("peer", err)
 		if err != nil {
@@ -327,7 +332,7 @@
 			continue
 		}
 		f.take(p.Changes, p.Age)
-		if p.Age >= 0 && p.Age < staleAge {
+		if p.Age >= 0 && p.Age < stale {
 			f.found()
 			return
 		}
@@ -354,11 +359,11 @@
 // do not grow with the fleet; two of them stand in for each other.
 const storeReaderCount = 2
 
-// storeReaders returns the other nodes to follow: those that read the store.
-func (g *Gateway) storeReaders() []anvilmodel.Member {
+// place returns this node's place in the tree on which the copy is passed on.
+func (g *Gateway) place() anvilmirror.Place {
 	g.control.Lock()
 	defer g.control.Unlock()
-	return anvilmirror.Readers(g.members.Members()[1:], storeReaderCount)
+	return anvilmirror.PlaceOf(g.members.Members(), storeReaderCount, anvilmirror.FanOut)
 }
 
 // readsStore reports whether this node is one of the readers.
