Measure the capacity of the gateway in place of the dispatching node

Cause: docs/CAPACITY.md worked out the size to design for with the node of the product's own protocol: dispatchers, relays, tickets, assignment by configured slots. The users run the gateway, which has none of them, and nothing said what it costs at 410 nodes.

Now `capacity` measures what a gateway does: membership and probes, the store's copy on its tree, the table of routes, address answers, the balancer, the query core and the merge.

--- a/anvilcapacity/deployment.go
+++ b/anvilcapacity/deployment.go
@@ -3,23 +3,24 @@
 import (
 	"fmt"
 	"net/netip"
-	"strings"
 	"time"
 
-	"anvilbridge/anvilassign"
+	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
 )
 
-// Shape of the services of the design size: 99 shards of 2 leafs, the leafs of a
-// shard in different regions. 15 such services have 2,970 leafs; the last one of
-// 3,000 leafs has 15 shards.
+// Shape of the services of the design size: each shard is a service of 2 leafs in
+// different failure domains, and a query goes to 99 shards.
 const (
-	serviceShards      = 99
-	serviceReplicas    = 2
-	serviceSlots       = 3
-	serviceConnections = 30
-	// coldDuration is short, so that measurements with real leafs need not wait.
-	coldDuration = 0 * time.Second
+	shardLeafs      = 2
+	leafSlots       = 3
+	leafConnections = 62
+	// partBytes and topRecords are the body of a leaf's reply and the records that
+	// the answer keeps.
+	partBytes  = 1000
+	topRecords = 50
 )
 
 func domainName(i int) anvilmodel.FailureDomain {
@@ -35,110 +36,83 @@
 	return anvilmodel.SlotName(fmt.Sprintf("entry-%03d", i))
 }
 
-func serviceName(i int) anvilmodel.ServiceName {
-	return anvilmodel.ServiceName(fmt.Sprintf("service-%02d", i))
+func shardName(i int) anvilmodel.ServiceName {
+	return anvilmodel.ServiceName(fmt.Sprintf("shard-%04d", i))
 }
 
-// deploymentLeafs returns leafs in whole services, the last one cut short.
-func deploymentLeafs(count int) []anvilmodel.Leaf {
-	leafs := make([]anvilmodel.Leaf, count)
-	for i := range leafs {
-		number := i % (serviceShards * serviceReplicas)
-		shard, replica := number/serviceReplicas, number%serviceReplicas
-		service := serviceName(i / (serviceShards * serviceReplicas))
-		address := netip.AddrFrom4([4]byte{10, 30, byte(i / 250), byte(i%250 + 1)})
-		leafs[i] = anvilmodel.Leaf{
-			Name:    anvilmodel.LeafName(fmt.Sprintf("%s-%03d-%c", service, shard, 'a'+replica)),
-			Service: service,
-			Address: netip.AddrPortFrom(address, 7000),
-			// Failure domains 1 and 2 are one region, 3 and 4 the other.
-			FailureDomain: domainName(shard + 2*replica),
-		}
-	}
-	return leafs
-}
-
-func deploymentSlots(count int) []anvilassign.Slot {
-	slots := make([]anvilassign.Slot, count)
-	for i := range slots {
-		slots[i] = anvilassign.Slot{
-			Name:          slotName(i),
-			FailureDomain: domainName(i),
-		}
+func leafAt(i int) anvilbalance.Leaf {
+	return anvilbalance.Leaf{
+		ID:            anvilmodel.LeafName(fmt.Sprintf("leaf-%04d", i)),
+		Service:       shardName(i / shardLeafs),
+		Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 30, byte(i / 250), byte(i%250 + 1)}), 8000),
+		FailureDomain: domainName(i),
+		Slots:         leafSlots,
 	}
-	return slots
 }
 
-// assignConfig returns the part of a configuration that decides the assignment.
-func assignConfig(slots, leafs, groupSize int) anvilassign.Config {
-	c := anvilassign.Config{
-		Slots:     deploymentSlots(slots),
-		Leafs:     deploymentLeafs(leafs),
-		Limits:    make(map[anvilmodel.ServiceName]anvilassign.Limits),
-		GroupSize: groupSize,
+// configuration returns a configuration of so many shards, with a route for each
+// 99 of them.
+func configuration(shards int) anvilroute.Configuration {
+	c := anvilroute.Configuration{
+		Version: 1,
 	}
-	for _, l := range c.Leafs {
-		c.Limits[l.Service] = anvilassign.Limits{
-			Connections:     serviceConnections,
-			ColdConcurrency: 2,
+	for i := range shards {
+		name := shardName(i)
+		c.Services = append(c.Services, anvilroute.Service{
+			Name:           name,
+			HealthPath:     "/health",
+			MaxConnections: leafConnections,
+		})
+		if i%designLeafsPerQuery == 0 {
+			c.Routes = append(c.Routes, queryRoute(i/designLeafsPerQuery))
 		}
+		last := &c.Routes[len(c.Routes)-1]
+		last.Shards = append(last.Shards, name)
 	}
 	return c
 }
 
-// baseFile returns a base file with slots and leafs. Comments bring it to the
-// given size.
-func baseFile(slots, leafs, size int) []byte {
-	all := deploymentLeafs(leafs)
-	bare := renderBase(slots, all, nil)
-	padding := make([]int, len(all))
-	for i := range padding {
-		missing := max(size-len(bare), 0)
-		padding[i] = missing*(i+1)/len(all) - missing*i/len(all)
+func queryRoute(number int) anvilroute.Route {
+	return anvilroute.Route{
+		Name:        anvilroute.Name(fmt.Sprint("query-", number)),
+		Host:        fmt.Sprintf("query-%d.example", number),
+		Prefix:      "/",
+		Timeout:     time.Second,
+		Target:      designTarget,
+		Attempts:    2,
+		TopRecords:  topRecords,
+		MinCoverage: 0.9,
 	}
-	return renderBase(slots, all, padding)
 }
 
-// renderBase writes a base file. Comment lines of the padded length together,
-// line ends included, go before each leaf.
-func renderBase(slots int, leafs []anvilmodel.Leaf, padding []int) []byte {
-	var b strings.Builder
-	b.WriteString("sites: [north, south]\nfailure-domains:\n")
-	for i := range designDomains {
-		fmt.Fprintf(&b, "  %s: {region: region-%d}\n", domainName(i), regionOf(i)+1)
-	}
-	b.WriteString("entry-slots:\n")
-	for i := range slots {
-		fmt.Fprintf(&b, "  %s: {failure-domain: %s}\n", slotName(i), domainName(i))
-	}
-	b.WriteString("services:\n")
-	var service anvilmodel.ServiceName
-	for i, l := range leafs {
-		if l.Service != service {
-			service = l.Service
-			fmt.Fprintf(&b, "  %s:\n    slots: %d\n    connections: %d\n    cold-duration: %s\n    leafs:\n",
-				service, serviceSlots, serviceConnections, coldDuration)
+// designMembers returns members as a node knows them.
+func designMembers(count int) []anvilmodel.Member {
+	members := make([]anvilmodel.Member, count)
+	for i, v := range listedVMs(count) {
+		members[i] = anvilmodel.Member{
+			Name:          v.Name,
+			FailureDomain: v.FailureDomain,
+			CallerAddress: v.CallerAddress,
+			PeerAddress:   v.PeerAddress,
+			Incarnation:   1_700_000_000_000 + anvilmodel.Incarnation(i),
+			Capacity:      100,
+			Load:          0.3,
+			Revision:      100_000,
+			Status:        anvilmodel.MemberAlive,
+			Serving:       true,
 		}
-		if padding != nil {
-			writeComments(&b, string(l.Name), padding[i])
-		}
-		fmt.Fprintf(&b, "      %s: {address: \"%s\", failure-domain: %s}\n", l.Name, l.Address, l.FailureDomain)
 	}
-	b.WriteString("classes:\n  buyers: {mode: broad, timeout: 110ms}\n  crews: {mode: urgent, timeout: 60ms, coverage-floor: 0.8}\n")
-	return []byte(b.String())
+	return members
 }
 
-// commentLine is the length of a comment line with its end, as most lines of a
-// configuration have. Longer ones would give larger chunks.
-const commentLine = 60
-
-// writeComments writes different comment lines of a total length, but for a
-// rest below 2 bytes.
-func writeComments(b *strings.Builder, text string, length int) {
-	for k := 0; length > 1; k++ {
-		n := min(length, commentLine)
-		line := fmt.Sprintf("#%d %s %s", k, text, strings.Repeat(".", commentLine))
-		b.WriteString(line[:n-1] + "\n")
-		length -= n
+// designItems returns members as probes carry them.
+func designItems(count int) []anvilmember.Item {
+	items := make([]anvilmember.Item, 0, count)
+	for _, m := range designMembers(count) {
+		items = append(items, anvilmember.Item{
+			Member:  m,
+			Version: 1_000_000,
+		})
 	}
+	return items
 }
--- a/anvilcapacity/memberfleet.go
+++ b/anvilcapacity/memberfleet.go
@@ -18,7 +18,7 @@
 const introductions = 30
 
 // memberFleet is a fleet of membership cores that exchange messages on virtual
-// time, as anvilnode/control.go lets them.
+// time, as anvilpeer.Prober lets them.
 type memberFleet struct {
 	simulation
 	nodes     []*memberNode
@@ -150,13 +150,12 @@
 	}
 	n.call(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		m.UpdateSelf(anvilmember.SelfState{
-			Load:        n.fleet.random.Float64(),
-			Revision:    100_000,
-			Serving:     true,
-			TicketEpoch: 2880,
+			Load:     n.fleet.random.Float64(),
+			Revision: 100_000,
+			Serving:  true,
 		}, now, a)
 	})
-	n.fleet.after(revisionTick, n.update)
+	n.fleet.after(updatePeriod, n.update)
 }
 
 // send delivers a probe and its reply, or its failure.
--- a/anvilcapacity/membership.go
+++ b/anvilcapacity/membership.go
@@ -35,9 +35,7 @@
 		fleets[i] = nil
 		results[i].memory = (before - liveHeap()) / float64(sizes[i])
 	}
-	slopes := memberSlopes(sizes, results)
-	slopes = append(slopes, measureMemberIndex(sizes, results[len(results)-1].views))
-	return append(slopes, measureSplit(seed)...), nil
+	return append(memberSlopes(sizes, results), measureSplit(seed)...), nil
 }
 
 // warmFleets starts fleets and lets each get to know itself. They run next to
--- a/anvilcapacity/peer.go
+++ b/anvilcapacity/peer.go
@@ -7,16 +7,14 @@
 	"time"
 
 	"anvilbridge/anvilmember"
-	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
-	"anvilbridge/anvilrevision"
 )
 
 // peerTimeout bounds one exchange of a measurement.
 const peerTimeout = 10 * time.Second
 
 // freshAddresses lets a client dial anew for each exchange. A node at the
-// design size does so too: it asks 409 members in turn and keeps at most 64 idle
+// design size does so too: it probes 409 members in turn and keeps at most 64 idle
 // connections (anvilpeer/client.go).
 type freshAddresses struct {
 	server netip.AddrPort
@@ -37,7 +35,6 @@
 
 // measurePeer measures control exchanges between nodes over drpc.
 func measurePeer(ctx context.Context, _ uint64) ([]Slope, error) {
-	var states []anvilmodel.LeafState
 	server, err := startPeerServer(anvilpeer.Handlers{
 		Probe: func(_ context.Context, q anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool) {
 			return anvilmember.ProbeReply{
@@ -45,28 +42,18 @@
 				News: q.News,
 			}, true
 		},
-		LeafStates: func(uint64) ([]anvilmodel.LeafState, uint64) { return states, 1_000_000 },
 	})
 	if err != nil {
 		return nil, err
 	}
 	defer server.close()
-	probes, err := measureProbes(ctx, server.address)
-	if err != nil {
-		return nil, err
-	}
-	exchanges, err := measureStates(ctx, server.address, &states)
-	return append(probes, exchanges...), err
+	return measureProbes(ctx, server.address)
 }
 
 // probeOf returns a probe with news.
 func probeOf(items int) anvilmember.ProbeRequest {
 	q := anvilmember.ProbeRequest{}
-	for i, m := range designMembers(items + 1) {
-		item := anvilmember.Item{
-			Member:  m,
-			Version: 1_000_000,
-		}
+	for i, item := range designItems(items + 1) {
 		if i == 0 {
 			q.From = item
 			continue
@@ -118,48 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	announces, err := measureAnnounces(ctx, server)
-	return []Slope{bytes, cpu, announces}, err
-}
-
-// measureAnnounces measures announcements of a revision.
-func measureAnnounces(ctx context.Context, server netip.AddrPort) (Slope, error) {
-	sizes := []int{1, 2, announceCount}
-	s := Slope{
-		Name:     "peer-announce-bytes",
-		What:     "announcements of a revision on fresh connections, both directions together, without TCP and IP headers",
-		Kind:     KindCount,
-		Unit:     "bytes",
-		SizeName: "announcements",
-		Sizes:    floats(sizes),
-	}
-	for _, budget := range []BudgetName{BudgetControlSent, BudgetControlReceived} {
-		s.Targets = append(s.Targets, Target{
-			What:   "4 announcements made and taken at each of 230 changes a day",
-			Size:   announceCount,
-			Factor: changesPerSec,
-			Unit:   "bytes/s",
-			Limit:  designBytes,
-			Budget: budget,
-		})
-	}
-	from := probeOf(0).From
-	for _, n := range sizes {
-		w := &wireCounter{}
-		err := exchange(ctx, w, server, n, func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
-			_, err := c.Announce(ctx, to, from, anvilrevision.State{
-				InForce: anvilrevision.Revision{
-					Version: 100_000,
-				},
-			})
-			return err
-		})
-		if err != nil {
-			return s, err
-		}
-		s.Values = append(s.Values, w.bytes())
-	}
-	return s, nil
+	return []Slope{bytes, cpu}, nil
 }
 
 // exchange runs exchanges on fresh connections.
--- a/anvilcapacity/run.go
+++ b/anvilcapacity/run.go
@@ -51,16 +51,12 @@
 	return []measurement{
 		{name: "membership", run: measureMembership},
 		{name: "peer", run: measurePeer},
-		{name: "assignment", run: measureAssignment},
-		{name: "query", run: measureQuery},
-		{name: "dispatcher", run: measureDispatcher},
-		{name: "relay", run: measureRelay},
-		{name: "upstream", run: measureUpstream},
-		{name: "configuration", run: measureConfiguration},
-		{name: "ticket", run: measureTicket},
-		{name: "status", run: measureStatus},
-		{name: "node", run: measureNode},
-		{name: "path", run: measurePath},
+		{name: "copy", run: measureCopy},
+		{name: "routes", run: measureRoutes},
+		{name: "address", run: measureAddresses},
+		{name: "balance", run: measureBalance},
+		{name: "connections", run: measureConnections},
+		{name: "gather", run: measureGather},
 	}
 }
 
--- a/anvilcapacity/wire.go
+++ b/anvilcapacity/wire.go
@@ -7,10 +7,8 @@
 	"sync"
 	"sync/atomic"
 
-	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
-	"anvilbridge/anvilrevision"
 )
 
 // wireCounter counts what goes over connections, without TCP and IP headers.
@@ -66,7 +64,7 @@
 
 // startPeerServer serves handlers; those left out answer nothing.
 func startPeerServer(h anvilpeer.Handlers) (*peerServer, error) {
-	fillHandlers(&h)
+	h.Incarnation = func() anvilmodel.Incarnation { return peerIncarnation }
 	server, err := anvilpeer.NewServer(h)
 	if err != nil {
 		return nil, err
@@ -92,34 +90,5 @@
 	s.done.Wait()
 }
 
-func fillHandlers(h *anvilpeer.Handlers) {
-	if h.Incarnation == nil {
-		h.Incarnation = func() anvilmodel.Incarnation { return peerIncarnation }
-	}
-	if h.Submit == nil {
-		h.Submit = func(anvilmodel.Call, func(anvilmodel.CallReply)) {}
-	}
-	if h.Cancel == nil {
-		h.Cancel = func(anvilmodel.CallID) {}
-	}
-	if h.Probe == nil {
-		h.Probe = func(context.Context, anvilmember.ProbeRequest) (anvilmember.ProbeReply, bool) {
-			return anvilmember.ProbeReply{}, false
-		}
-	}
-	if h.Announce == nil {
-		h.Announce = func(anvilmember.Item, anvilrevision.State) anvilrevision.State { return anvilrevision.State{} }
-	}
-	if h.Manifest == nil {
-		h.Manifest = func(uint64) anvilrevision.Manifest { return anvilrevision.Manifest{} }
-	}
-	if h.Chunk == nil {
-		h.Chunk = func(anvilrevision.Hash) []byte { return nil }
-	}
-	if h.LeafStates == nil {
-		h.LeafStates = func(uint64) ([]anvilmodel.LeafState, uint64) { return nil, 0 }
-	}
-}
-
 // peerIncarnation is the incarnation of the nodes that measurements connect to.
 const peerIncarnation anvilmodel.Incarnation = 1_700_000_000_000
