--- a/anvilbench/bench_test.go
+++ b/anvilbench/bench_test.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// writeTables prints the tables of docs/measurements.md.
+// writeTables prints the tables that docs/measurements.md sums up.
 func writeTables() {
 	if len(figures) > 0 {
 		fmt.Fprint(os.Stdout, "\nAll classes:\n\n")
