--- a/anvilcapacity/measure.go
+++ b/anvilcapacity/measure.go
@@ -37,22 +37,6 @@
 	return least
 }
 
-// leastTimes returns the least CPU time and the least wall-clock time of several
-// runs, in seconds.
-func leastTimes(work func()) (cpu, wall float64) {
-	cpu, wall = math.Inf(1), math.Inf(1)
-	for range repeats {
-		var took time.Duration
-		cpu = min(cpu, cpuOf(func() {
-			started := time.Now()
-			work()
-			took = time.Since(started)
-		}))
-		wall = min(wall, took.Seconds())
-	}
-	return cpu, wall
-}
-
 // liveHeap returns the bytes that are reachable. The second collection frees
 // what finalizers and pools held.
 func liveHeap() float64 {
