Keep half of a node's connections to a leaf idle at most

Cause: since idle connections are kept past the deadline of their last call, all nodes hold their whole share open.

TestIdleConnectionsLeaveRoomForReturningNodes fails with the whole share.

--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -159,6 +159,13 @@
 	return max(1, int(float64(total)*connectionMargin)/b.nodes)
 }
 
+// IdleConnections returns how many connections this node keeps idle to a leaf of the
+// service: half of those that it may hold. Those of a node that loses power count at
+// the leaf until their idle time is over, and the rest is left for its return.
+func (b *Balancer) IdleConnections(name anvilmodel.ServiceName) int {
+	return (b.Connections(name) + 1) / 2
+}
+
 // FewestConnections returns the smallest number of connections that a leaf of any
 // service accepts from all nodes together.
 func (b *Balancer) FewestConnections() int {
--- a/anvilbalance/balance_test.go
+++ b/anvilbalance/balance_test.go
@@ -140,6 +140,24 @@
 	}
 }
 
+// Pattern: all nodes lose power and return within a second, while the leafs still
+// count the connections that were idle. Guards against so many of them that the
+// leafs reset the calls of the nodes that return.
+func TestIdleConnectionsLeaveRoomForReturningNodes(t *testing.T) {
+	const nodes, accepted = 4, 30
+	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{
+		MaxConnections: accepted,
+	}, 2)
+	b.SetNodes(nodes)
+	if idle := nodes * b.IdleConnections("s"); idle > accepted/2 {
+		t.Errorf("%d nodes keep %d connections idle to a leaf that accepts %d, want half of them at most", nodes, idle, accepted)
+	}
+	b.SetNodes(50)
+	if diff := cmp.Diff(1, b.IdleConnections("s")); diff != "" {
+		t.Errorf("idle connections of one of 50 nodes (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against calls to a leaf that is draining, in a failure domain that is
 // out, removed or tried before.
 func TestUnusableLeafs(t *testing.T) {
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -50,7 +50,7 @@
 func (g *Gateway) idleLimit(leaf anvilbalance.Leaf) int {
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
-	return g.balancer.Connections(leaf.Service)
+	return g.balancer.IdleConnections(leaf.Service)
 }
 
 // trimPools closes the connections to leafs that are gone and surplus ones, and
@@ -73,7 +73,7 @@
 		}
 		kept = append(kept, limitedPool{
 			pool:  p.pool,
-			limit: g.balancer.Connections(service),
+			limit: g.balancer.IdleConnections(service),
 		})
 	}
 	g.connecting.Unlock()
