Declare the slopes of capacity in one way, and measure only what they say

One list of sizes and one exchange serve all now. Counters of writes and dials, the kind wall clock and a count of allocations had no reader any more; a hand-made generator gives way to the library's.

The parts that merge-cpu merges are random now, so that its figures before and after this commit are not of the same data.

No bound, check or assertion changes, and the gateway is untouched.

--- a/anvilcapacity/address.go
+++ b/anvilcapacity/address.go
@@ -7,8 +7,6 @@
 
 	"anvilbridge/anviladdress"
 	"anvilbridge/anvilmirror"
-	"anvilbridge/anvilmodel"
-	"anvilbridge/anvilroute"
 )
 
 const (
@@ -24,37 +22,19 @@
 // measureAddresses measures the answers to callers, and the looks at the fleet that
 // a node takes for itself.
 func measureAddresses(_ context.Context, seed uint64) ([]Slope, error) {
-	sizes := []int{33, 100, designNodes}
-	answers := Slope{
-		Name:     "address-cpu",
-		What:     "one address answer",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "members",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "5 answers a second", Size: designNodes, Factor: addressAsks, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}},
-	}
-	places := Slope{
-		Name:     "place-cpu",
-		What:     "finding a node's place among the followers of the store",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "members",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "before each question", Size: designNodes, Factor: 2 * asksPerSec, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}},
-	}
-	looks := Slope{
-		Name:     "focus-cpu",
-		What:     "choosing the nodes that callers are sent to",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "members",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "5 looks a second", Size: designNodes, Factor: looksPerSec, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}},
+	fleets := sizeList{name: "members", list: []int{33, 100, designNodes}}
+	control := func(what string, factor float64) Target {
+		return Target{What: what, Size: designNodes, Factor: factor, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}
 	}
+	answers := fleets.slope("address-cpu", "one address answer", KindCPU, "s",
+		control("5 answers a second", addressAsks))
+	places := fleets.slope("place-cpu", "finding a node's place among the followers of the store", KindCPU, "s",
+		control("before each question", 2*asksPerSec))
+	looks := fleets.slope("focus-cpu", "choosing the nodes that callers are sent to", KindCPU, "s",
+		control("5 looks a second", looksPerSec))
 	const rounds = 200
 	random := rand.New(rand.NewPCG(seed, 0))
-	for _, n := range sizes {
+	for _, n := range fleets.list {
 		members := designMembers(n)
 		answers.Values = append(answers.Values, leastCPU(func() {
 			for range rounds {
@@ -81,7 +61,3 @@
 	}
 	return []Slope{answers, places, looks}, nil
 }
-
-func servicesOf(c anvilroute.Configuration) map[anvilmodel.ServiceName]anvilroute.Service {
-	return anvilroute.NewTable(c).Services()
-}
--- a/anvilcapacity/balance.go
+++ b/anvilcapacity/balance.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"anvilbridge/anvilbalance"
 	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
 )
 
 const (
@@ -25,49 +25,26 @@
 
 // measureBalance measures what a gateway knows of the leafs.
 func measureBalance(_ context.Context, seed uint64) ([]Slope, error) {
-	sizes := []int{300, 1000, designLeafs}
-	memory := Slope{
-		Name:     "balance-memory",
-		What:     "what a node knows of leafs",
-		Kind:     KindHeap,
-		Unit:     "bytes",
-		SizeName: "leafs",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "leafs", Size: designLeafs, Unit: "bytes", Limit: designMemory, Budget: BudgetControlMemory}},
-	}
-	checks := Slope{
-		Name:     "balance-checks-cpu",
-		What:     "one look for leafs whose health is due to be checked",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "leafs",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "20 looks a second", Size: designLeafs, Factor: checksPerSec, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}},
-	}
-	reach := Slope{
-		Name:     "balance-reach-cpu",
-		What:     "one look whether each shard has a leaf that can be called",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "leafs",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "5 looks a second", Size: designLeafs, Factor: looksPerSec, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}},
-	}
-	calls := Slope{
-		Name:     "balance-call-cpu",
-		What:     "choosing a leaf and taking the end of the call",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "leafs",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "20,283 calls a second", Size: designLeafs, Factor: nodeCalls, Unit: "cores", Budget: BudgetDataCPU}},
+	fleets := sizeList{name: "leafs", list: []int{300, 1000, designLeafs}}
+	control := func(what string, factor float64) Target {
+		return Target{What: what, Size: designLeafs, Factor: factor, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}
 	}
+	memory := fleets.slope("balance-memory", "what a node knows of leafs", KindHeap, "bytes",
+		Target{What: "leafs", Size: designLeafs, Unit: "bytes", Limit: designMemory, Budget: BudgetControlMemory})
+	checks := fleets.slope("balance-checks-cpu", "one look for leafs whose health is due to be checked", KindCPU, "s",
+		control("20 looks a second", checksPerSec))
+	reach := fleets.slope("balance-reach-cpu", "one look whether each shard has a leaf that can be called", KindCPU, "s",
+		control("5 looks a second", looksPerSec))
+	calls := fleets.slope("balance-call-cpu", "choosing a leaf and taking the end of the call", KindCPU, "s",
+		Target{What: "20,283 calls a second", Size: designLeafs, Factor: nodeCalls, Unit: "cores", Budget: BudgetDataCPU})
 	const rounds = 200
 	now := time.Unix(1_700_000_000, 0)
-	for _, n := range sizes {
+	for _, n := range fleets.list {
 		build := func() *anvilbalance.Balancer { return balancerOf(n, seed, now) }
 		memory.Values = append(memory.Values, retained(build))
 		b := build()
+		// The names are made before, because a gateway has them in its routes.
+		shards := shardNames(n / shardLeafs)
 		checks.Values = append(checks.Values, leastCPU(func() {
 			for range rounds {
 				b.DueChecks(now)
@@ -75,17 +52,18 @@
 		})/rounds)
 		reach.Values = append(reach.Values, leastCPU(func() {
 			for range rounds {
-				for i := range n / shardLeafs {
-					b.Available(shardName(i), now)
+				for _, name := range shards {
+					b.Available(name, now)
 				}
 			}
 		})/rounds)
-		count := rounds * n / shardLeafs
 		calls.Values = append(calls.Values, leastCPU(func() {
-			for i := range count {
-				callOnce(b, i%(n/shardLeafs), now)
+			for range rounds {
+				for _, name := range shards {
+					callOnce(b, name, now)
+				}
 			}
-		})/float64(count))
+		})/float64(rounds*len(shards)))
 	}
 	return []Slope{memory, checks, reach, calls}, nil
 }
@@ -102,8 +80,7 @@
 	return b
 }
 
-func callOnce(b *anvilbalance.Balancer, shard int, now time.Time) {
-	service := shardName(shard)
+func callOnce(b *anvilbalance.Balancer, service anvilmodel.ServiceName, now time.Time) {
 	b.CountRequest(service, now)
 	l, verdict := b.Pick(anvilbalance.Choice{
 		Service: service,
@@ -123,35 +100,15 @@
 // measureConnections measures how many connections all nodes together may hold to
 // a leaf, against what it accepts.
 func measureConnections(_ context.Context, _ uint64) ([]Slope, error) {
-	sizes := []int{4, serviceNodes, 55, designNodes}
-	s := Slope{
-		Name:     "connections-per-leaf",
-		What:     "connections that the nodes which call a leaf may hold to it; it accepts 62",
-		Kind:     KindCount,
-		Unit:     "connections",
-		SizeName: "nodes that call the leaf",
-		Sizes:    floats(sizes),
-		Targets: []Target{
-			{What: "each query service is served by its own nodes", Size: serviceNodes, Unit: "connections", Limit: leafConnections},
-			{What: "each node serves all query services", Size: designNodes, Unit: "connections", Limit: leafConnections},
-		},
-	}
+	callers := sizeList{name: "nodes that call the leaf", list: []int{4, serviceNodes, 55, designNodes}}
+	s := callers.slope("connections-per-leaf", "connections that the nodes which call a leaf may hold to it; it accepts 62", KindCount, "connections",
+		Target{What: "each query service is served by its own nodes", Size: serviceNodes, Unit: "connections", Limit: leafConnections},
+		Target{What: "each node serves all query services", Size: designNodes, Unit: "connections", Limit: leafConnections})
 	b := anvilbalance.New(anvilbalance.Config{})
-	b.SetServices(servicesOf(configuration(1)))
-	for _, n := range sizes {
+	b.SetServices(anvilroute.NewTable(configuration(1)).Services())
+	for _, n := range callers.list {
 		b.SetNodes(n)
 		s.Values = append(s.Values, float64(n*b.Connections(shardName(0))))
 	}
 	return []Slope{s}, nil
 }
-
-// shardsOf returns the names of so many shards.
-func shardsOf(count int) []anvilmodel.ServiceName {
-	return slices.Collect(func(yield func(anvilmodel.ServiceName) bool) {
-		for i := range count {
-			if !yield(shardName(i)) {
-				return
-			}
-		}
-	})
-}
--- a/anvilcapacity/copy.go
+++ b/anvilcapacity/copy.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -65,64 +64,39 @@
 	return append(append(idle, changed...), storeReads()), err
 }
 
-// ask asks for the copy so often over one connection.
-func ask(ctx context.Context, w *wireCounter, server netip.AddrPort, count int) error {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	client := anvilpeer.NewClient(anvilpeer.ClientConfig{
-		Dial: w.dial,
-	})
-	defer func() { _ = client.Close() }()
-	for range count {
-		if _, err := client.Published(ctx, server, "leafs/", 100_000, copyWait); err != nil {
-			return err
-		}
-	}
-	return nil
+// ask asks for the copy.
+func ask(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
+	_, err := c.Published(ctx, to, "leafs/", 100_000, copyWait)
+	return err
 }
 
 // measureQuestions measures questions that no change answers.
 func measureQuestions(ctx context.Context, server netip.AddrPort) ([]Slope, error) {
-	sizes := []int{100, 200, 400}
-	slope := func(name, what string, kind Kind, unit string, targets ...Target) Slope {
-		return Slope{
-			Name:     name,
-			What:     what,
-			Kind:     kind,
-			Unit:     unit,
-			SizeName: "questions",
-			Sizes:    floats(sizes),
-			Targets:  targets,
-		}
-	}
+	asked := sizeList{name: "questions", list: []int{100, 200, 400}}
 	perSec := func(what string, size float64, unit string, limit float64, budget BudgetName) Target {
 		return Target{What: what, Size: size, Rate: true, Unit: unit, Limit: limit, Budget: budget}
 	}
-	questions := slope("copy-question-bytes", "questions for changes on a kept connection, without TCP and IP headers", KindCount, "bytes",
+	questions := asked.slope("copy-question-bytes", "questions for changes on a kept connection, without TCP and IP headers", KindCount, "bytes",
 		perSec("asked", asksPerSec, "bytes/s", designBytes, BudgetControlSent),
 		perSec("taken from 12 followers", servesPerSec, "bytes/s", designBytes, BudgetControlReceived))
-	answers := slope("copy-answer-bytes", "answers without a change", KindCount, "bytes",
+	answers := asked.slope("copy-answer-bytes", "answers without a change", KindCount, "bytes",
 		perSec("received", asksPerSec, "bytes/s", designBytes, BudgetControlReceived),
 		perSec("sent to 12 followers", servesPerSec, "bytes/s", designBytes, BudgetControlSent))
 	// A question is asked at one node and answered at another.
-	cpu := slope("copy-cpu", "questions and answers, both nodes", KindCPU, "s",
+	cpu := asked.slope("copy-cpu", "questions and answers, both nodes", KindCPU, "s",
 		perSec("a node with 12 followers", (asksPerSec+servesPerSec)/2, "cores", designCPU, BudgetControlCPU))
-	for _, n := range sizes {
+	for _, n := range asked.list {
 		w := &wireCounter{}
-		if err := ask(ctx, w, server, n); err != nil {
+		if err := exchange(ctx, w, server, true, n, ask); err != nil {
 			return nil, err
 		}
 		questions.Values = append(questions.Values, float64(w.sent.Load()))
 		answers.Values = append(answers.Values, float64(w.received.Load()))
-		var err error
-		cpu.Values = append(cpu.Values, leastCPU(func() {
-			if err == nil {
-				err = ask(ctx, &wireCounter{}, server, n)
-			}
-		}))
+		used, err := exchangeCPU(ctx, server, true, n, ask)
 		if err != nil {
 			return nil, err
 		}
+		cpu.Values = append(cpu.Values, used)
 	}
 	return []Slope{questions, answers, cpu}, nil
 }
@@ -134,33 +108,25 @@
 	target := func(what string, size, factor float64, budget BudgetName) Target {
 		return Target{What: what, Size: size, Factor: factor, Unit: "bytes/s", Limit: designBytes, Budget: budget}
 	}
-	s := Slope{
-		Name:     "copy-change-bytes",
-		What:     "answer with one change",
-		Kind:     KindCount,
-		Unit:     "bytes",
-		SizeName: "bytes of the item",
-		Targets: []Target{
-			target("leafs' entries received, 3 changes a day of each", entryBytes, changesOfLeafs, BudgetControlReceived),
-			target("the same sent to 12 followers", entryBytes, changesOfLeafs*copyFollowers, BudgetControlSent),
-			target("configuration received, 230 changes a day", document, changesPerSec, BudgetControlReceived),
-			target("the same sent to 12 followers", document, changesPerSec*copyFollowers, ""),
-		},
-	}
-	for _, size := range []int{entryBytes, 10_000, 200_000} {
+	items := sizeList{name: "bytes of the item", list: []int{entryBytes, 10_000, 200_000}}
+	s := items.slope("copy-change-bytes", "answer with one change", KindCount, "bytes",
+		target("leafs' entries received, 3 changes a day of each", entryBytes, changesOfLeafs, BudgetControlReceived),
+		target("the same sent to 12 followers", entryBytes, changesOfLeafs*copyFollowers, BudgetControlSent),
+		target("configuration received, 230 changes a day", document, changesPerSec, BudgetControlReceived),
+		target("the same sent to 12 followers", document, changesPerSec*copyFollowers, ""))
+	for _, size := range items.list {
 		*changes = anvilmirror.Changes{
 			Revision: 100_001,
 			Items: []anvilmirror.Item{{
-				Key:      fmt.Sprintf("leafs/leaf-%04d", 1),
+				Key:      "leafs/leaf-0001",
 				Value:    bytes.Repeat([]byte("x"), size),
 				Revision: 100_001,
 			}},
 		}
 		w := &wireCounter{}
-		if err := ask(ctx, w, server, 1); err != nil {
+		if err := exchange(ctx, w, server, true, 1, ask); err != nil {
 			return nil, err
 		}
-		s.Sizes = append(s.Sizes, float64(size))
 		s.Values = append(s.Values, float64(w.received.Load()))
 	}
 	return []Slope{s, measureHeldCopy()}, nil
@@ -168,17 +134,10 @@
 
 // measureHeldCopy measures the memory of a node's copy.
 func measureHeldCopy() Slope {
-	sizes := []int{300, 1000, designLeafs}
-	s := Slope{
-		Name:     "copy-memory",
-		What:     "copy of the leafs' entries",
-		Kind:     KindHeap,
-		Unit:     "bytes",
-		SizeName: "leafs",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "entries", Size: designLeafs, Unit: "bytes", Limit: designMemory, Budget: BudgetControlMemory}},
-	}
-	for _, n := range sizes {
+	held := sizeList{name: "leafs", list: []int{300, 1000, designLeafs}}
+	s := held.slope("copy-memory", "copy of the leafs' entries", KindHeap, "bytes",
+		Target{What: "entries", Size: designLeafs, Unit: "bytes", Limit: designMemory, Budget: BudgetControlMemory})
+	for _, n := range held.list {
 		s.Values = append(s.Values, retained(func() *anvilmirror.Mirror {
 			m := anvilmirror.New()
 			c := anvilmirror.Changes{
@@ -201,17 +160,10 @@
 
 // storeReads counts the reads of the store by the whole fleet.
 func storeReads() Slope {
-	sizes := []int{4, 33, designNodes}
-	s := Slope{
-		Name:     "store-reads",
-		What:     "reads of the store by all nodes while nothing changes",
-		Kind:     KindCount,
-		Unit:     "reads/s",
-		SizeName: "nodes",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "all nodes", Size: designNodes, Unit: "reads/s", Limit: designReads}},
-	}
-	for _, n := range sizes {
+	fleets := sizeList{name: "nodes", list: []int{4, 33, designNodes}}
+	s := fleets.slope("store-reads", "reads of the store by all nodes while nothing changes", KindCount, "reads/s",
+		Target{What: "all nodes", Size: designNodes, Unit: "reads/s", Limit: designReads})
+	for _, n := range fleets.list {
 		members := designMembers(n)
 		readers := 0
 		for i := range members {
@@ -229,27 +181,13 @@
 // measureRoutes measures the table of routes that a change of the configuration
 // makes a node build.
 func measureRoutes(_ context.Context, _ uint64) ([]Slope, error) {
-	sizes := []int{99, 495, designLeafs / shardLeafs}
-	cpu := Slope{
-		Name:     "routes-cpu",
-		What:     "table of the routes and services of a configuration",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "shards",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "230 changes a day", Size: designLeafs / shardLeafs, Factor: changesPerSec, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU}},
-	}
-	memory := Slope{
-		Name:     "routes-memory",
-		What:     "configuration and table of routes",
-		Kind:     KindHeap,
-		Unit:     "bytes",
-		SizeName: "shards",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "the version in force and the next", Size: designLeafs / shardLeafs, Factor: 2, Unit: "bytes", Limit: designMemory, Budget: BudgetControlMemory}},
-	}
+	configured := sizeList{name: "shards", list: []int{99, 495, designLeafs / shardLeafs}}
+	cpu := configured.slope("routes-cpu", "table of the routes and services of a configuration", KindCPU, "s",
+		Target{What: "230 changes a day", Size: designLeafs / shardLeafs, Factor: changesPerSec, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU})
+	memory := configured.slope("routes-memory", "configuration and table of routes", KindHeap, "bytes",
+		Target{What: "the version in force and the next", Size: designLeafs / shardLeafs, Factor: 2, Unit: "bytes", Limit: designMemory, Budget: BudgetControlMemory})
 	const builds = 20
-	for _, n := range sizes {
+	for _, n := range configured.list {
 		c := configuration(n)
 		cpu.Values = append(cpu.Values, leastCPU(func() {
 			for range builds {
--- a/anvilcapacity/deployment.go
+++ b/anvilcapacity/deployment.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"anvilbridge/anvilbalance"
-	"anvilbridge/anvilmember"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilroute"
 )
@@ -40,6 +39,15 @@
 	return anvilmodel.ServiceName(fmt.Sprintf("shard-%04d", i))
 }
 
+// shardNames returns the names of so many shards.
+func shardNames(count int) []anvilmodel.ServiceName {
+	names := make([]anvilmodel.ServiceName, count)
+	for i := range names {
+		names[i] = shardName(i)
+	}
+	return names
+}
+
 func leafAt(i int) anvilbalance.Leaf {
 	return anvilbalance.Leaf{
 		ID:            anvilmodel.LeafName(fmt.Sprintf("leaf-%04d", i)),
@@ -104,15 +112,3 @@
 	}
 	return members
 }
-
-// designItems returns members as probes carry them.
-func designItems(count int) []anvilmember.Item {
-	items := make([]anvilmember.Item, 0, count)
-	for _, m := range designMembers(count) {
-		items = append(items, anvilmember.Item{
-			Member:  m,
-			Version: 1_000_000,
-		})
-	}
-	return items
-}
--- a/anvilcapacity/gather.go
+++ b/anvilcapacity/gather.go
@@ -1,58 +1,39 @@
 package anvilcapacity
 
 import (
-	"bytes"
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"anvilbridge/anvilbalance"
 	"anvilbridge/anvilgather"
 	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
 )
 
 // measureGather measures the core of a query and the merging of its parts.
 func measureGather(_ context.Context, seed uint64) ([]Slope, error) {
-	sizes := []int{10, 33, designLeafsPerQuery}
+	queried := sizeList{name: "shards", list: []int{10, 33, designLeafsPerQuery}}
 	rate := func(what string) Target {
 		return Target{What: what, Size: designLeafsPerQuery, Factor: nodeQueries, Unit: "cores", Budget: BudgetDataCPU}
 	}
-	core := Slope{
-		Name:     "gather-cpu",
-		What:     "core of a query whose parts all come in, leafs chosen without cost",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "shards",
-		Sizes:    floats(sizes),
-		Targets:  []Target{rate("205 queries a second")},
-	}
-	memory := Slope{
-		Name:     "gather-bytes",
-		What:     "allocated for the core of a query",
-		Kind:     KindCount,
-		Unit:     "bytes",
-		SizeName: "shards",
-		Sizes:    floats(sizes),
-		Targets:  []Target{{What: "205 queries a second", Size: designLeafsPerQuery, Factor: nodeQueries, Unit: "bytes/s"}},
-	}
-	merge := Slope{
-		Name:     "merge-cpu",
-		What:     "choosing the greatest 50 records of parts of 1,000 bytes",
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "shards",
-		Sizes:    floats(sizes),
-		Targets:  []Target{rate("205 answers a second")},
-	}
+	core := queried.slope("gather-cpu", "core of a query whose parts all come in, leafs chosen without cost", KindCPU, "s",
+		rate("205 queries a second"))
+	memory := queried.slope("gather-bytes", "allocated for the core of a query", KindCount, "bytes",
+		Target{What: "205 queries a second", Size: designLeafsPerQuery, Factor: nodeQueries, Unit: "bytes/s"})
+	merge := queried.slope("merge-cpu", "choosing the greatest 50 records of parts of 1,000 bytes", KindCPU, "s",
+		rate("205 answers a second"))
 	const queries = 2000
-	for _, n := range sizes {
+	for _, n := range queried.list {
+		route := queryRoute(0)
+		route.Shards = shardNames(n)
 		run := func() {
 			for range queries {
-				gatherOnce(n)
+				gatherOnce(&route)
 			}
 		}
 		core.Values = append(core.Values, leastCPU(run)/queries)
-		_, allocatedBytes := allocated(run)
-		memory.Values = append(memory.Values, allocatedBytes/queries)
+		memory.Values = append(memory.Values, allocated(run)/queries)
 		parts := partsOf(n, seed)
 		merge.Values = append(merge.Values, leastCPU(func() {
 			for range queries {
@@ -63,12 +44,10 @@
 	return []Slope{core, memory, merge}, nil
 }
 
-func gatherOnce(shards int) {
+func gatherOnce(route *anvilroute.Route) {
 	now := time.Unix(1_700_000_000, 0)
-	route := queryRoute(0)
-	route.Shards = shardsOf(shards)
 	r := anvilgather.New(anvilgather.Config{
-		Route:      &route,
+		Route:      route,
 		Services:   route.Shards,
 		Arrived:    now,
 		Timeout:    route.Timeout,
@@ -88,16 +67,12 @@
 
 // partsOf returns the bodies of leafs: records of 16 bytes in no order.
 func partsOf(count int, seed uint64) [][]byte {
+	random := rand.NewChaCha8([32]byte{byte(seed)})
 	parts := make([][]byte, count)
 	for i := range parts {
-		record := []byte("record-0000-0000")
-		for k := range partBytes / len(record) {
-			seed = seed*6364136223846793005 + 1442695040888963407
-			record[7] = byte('a' + seed>>60)
-			record[8] = byte('a' + seed>>56&15)
-			record[12] = byte('a' + k%20)
-			parts[i] = append(parts[i], bytes.Clone(record)...)
-		}
+		parts[i] = make([]byte, partBytes)
+		// Reading from the generator does not fail.
+		_, _ = random.Read(parts[i])
 	}
 	return parts
 }
--- a/anvilcapacity/measure.go
+++ b/anvilcapacity/measure.go
@@ -56,13 +56,13 @@
 	return max(after-before, 0)
 }
 
-// allocated returns the number and the bytes of the allocations during work.
-func allocated(work func()) (count, bytes float64) {
+// allocated returns the bytes that are allocated during work.
+func allocated(work func()) float64 {
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	work()
 	runtime.ReadMemStats(&after)
-	return float64(after.Mallocs - before.Mallocs), float64(after.TotalAlloc - before.TotalAlloc)
+	return float64(after.TotalAlloc - before.TotalAlloc)
 }
 
 // floats converts sizes for a Slope.
--- a/anvilcapacity/membership.go
+++ b/anvilcapacity/membership.go
@@ -102,17 +102,10 @@
 }
 
 func memberSlopes(sizes []int, results []memberResult) []Slope {
+	members := sizeList{name: "members", list: sizes}
 	slope := func(name, what string, kind Kind, unit string, value func(memberResult) float64, target Target) Slope {
 		target.Size = designNodes
-		s := Slope{
-			Name:     "membership-" + name,
-			What:     what,
-			Kind:     kind,
-			Unit:     unit,
-			SizeName: "members",
-			Sizes:    floats(sizes),
-			Targets:  []Target{target},
-		}
+		s := members.slope("membership-"+name, what, kind, unit, target)
 		for _, r := range results {
 			s.Values = append(s.Values, value(r))
 		}
--- a/anvilcapacity/membersplit.go
+++ b/anvilcapacity/membersplit.go
@@ -19,21 +19,14 @@
 // a failure domain.
 func measureSplit(seed uint64) []Slope {
 	sizes := []int{16, 64, 128}
+	members := sizeList{name: "members", list: sizes}
 	slope := func(name, what string, kind Kind, unit string, limit float64) Slope {
-		return Slope{
-			Name:     "membership-" + name,
-			What:     what,
-			Kind:     kind,
-			Unit:     unit,
-			SizeName: "members",
-			Sizes:    floats(sizes),
-			Targets: []Target{{
-				What:  name,
-				Size:  designNodes,
-				Unit:  unit,
-				Limit: limit,
-			}},
-		}
+		return members.slope("membership-"+name, what, kind, unit, Target{
+			What:  name,
+			Size:  designNodes,
+			Unit:  unit,
+			Limit: limit,
+		})
 	}
 	bytes := slope("split-bytes", "encoded probes and replies that a node sends in the first 20 s after the regions lose each other", KindCount, "bytes/s", designBytes)
 	lost := slope("split-lost", "time until no node counts one of the other region as alive", KindVirtualTime, "s", 0)
--- a/anvilcapacity/peer.go
+++ b/anvilcapacity/peer.go
@@ -53,7 +53,11 @@
 // probeOf returns a probe with news.
 func probeOf(items int) anvilmember.ProbeRequest {
 	q := anvilmember.ProbeRequest{}
-	for i, item := range designItems(items + 1) {
+	for i, m := range designMembers(items + 1) {
+		item := anvilmember.Item{
+			Member:  m,
+			Version: 1_000_000,
+		}
 		if i == 0 {
 			q.From = item
 			continue
@@ -87,7 +91,7 @@
 			News: q.News,
 		}
 		w := &wireCounter{}
-		if err := exchange(ctx, w, server, 1, func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
+		if err := exchange(ctx, w, server, false, 1, func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
 			_, err := c.Probe(ctx, to, q)
 			return err
 		}); err != nil {
@@ -96,20 +100,24 @@
 		bytes.Sizes = append(bytes.Sizes, float64(anvilmember.RequestSize(q)+anvilmember.ReplySize(reply)))
 		bytes.Values = append(bytes.Values, w.bytes())
 	}
-	cpu, err := exchangeCPU(ctx, server, "peer-probe-cpu", "probes with 8 items and their replies, both nodes, each on a fresh connection",
-		Target{What: "2 probes sent and 2 answered a second", Size: 2, Rate: true, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU},
-		func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
+	exchanges := sizeList{name: "exchanges", list: []int{100, 200, 400}}
+	cpu := exchanges.slope("peer-probe-cpu", "probes with 8 items and their replies, both nodes, each on a fresh connection", KindCPU, "s",
+		Target{What: "2 probes sent and 2 answered a second", Size: 2, Rate: true, Unit: "cores", Limit: designCPU, Budget: BudgetControlCPU})
+	for _, n := range exchanges.list {
+		used, err := exchangeCPU(ctx, server, false, n, func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error {
 			_, err := c.Probe(ctx, to, probeOf(8))
 			return err
 		})
-	if err != nil {
-		return nil, err
+		if err != nil {
+			return nil, err
+		}
+		cpu.Values = append(cpu.Values, used)
 	}
 	return []Slope{bytes, cpu}, nil
 }
 
-// exchange runs exchanges on fresh connections.
-func exchange(ctx context.Context, w *wireCounter, server netip.AddrPort, count int, one func(context.Context, *anvilpeer.Client, netip.AddrPort) error) error {
+// exchange runs exchanges, on a kept connection or each on a fresh one.
+func exchange(ctx context.Context, w *wireCounter, server netip.AddrPort, kept bool, count int, one exchangeFunc) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	fresh := freshAddresses{
@@ -120,32 +128,27 @@
 	})
 	defer func() { _ = client.Close() }()
 	for range count {
-		if err := one(ctx, client, fresh.address()); err != nil {
+		to := server
+		if !kept {
+			to = fresh.address()
+		}
+		if err := one(ctx, client, to); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// exchangeCPU measures the CPU time of exchanges against their number.
-func exchangeCPU(ctx context.Context, server netip.AddrPort, name, what string, target Target, one func(context.Context, *anvilpeer.Client, netip.AddrPort) error) (Slope, error) {
-	sizes := []int{100, 200, 400}
-	s := Slope{
-		Name:     name,
-		What:     what,
-		Kind:     KindCPU,
-		Unit:     "s",
-		SizeName: "exchanges",
-		Sizes:    floats(sizes),
-		Targets:  []Target{target},
-	}
+// exchangeFunc runs one exchange.
+type exchangeFunc func(ctx context.Context, c *anvilpeer.Client, to netip.AddrPort) error
+
+// exchangeCPU returns the CPU time of so many exchanges, both nodes, in seconds.
+func exchangeCPU(ctx context.Context, server netip.AddrPort, kept bool, count int, one exchangeFunc) (float64, error) {
 	var err error
-	for _, n := range sizes {
-		s.Values = append(s.Values, leastCPU(func() {
-			if err == nil {
-				err = exchange(ctx, &wireCounter{}, server, n, one)
-			}
-		}))
-	}
-	return s, err
+	cpu := leastCPU(func() {
+		if err == nil {
+			err = exchange(ctx, &wireCounter{}, server, kept, count, one)
+		}
+	})
+	return cpu, err
 }
--- a/anvilcapacity/slope.go
+++ b/anvilcapacity/slope.go
@@ -18,8 +18,6 @@
 	KindHeap Kind = "live heap"
 	// KindCPU is CPU time of the process, user and system.
 	KindCPU Kind = "CPU time"
-	// KindWall is wall-clock time, or a count that depends on scheduling.
-	KindWall Kind = "wall clock"
 )
 
 // Slope is one cost, measured at several sizes.
@@ -37,6 +35,26 @@
 	Targets  []Target
 }
 
+// sizeList is what the slopes of a measurement have in common.
+type sizeList struct {
+	// name is what the sizes count.
+	name string
+	list []int
+}
+
+// slope returns a slope over the sizes that has no values yet.
+func (z sizeList) slope(name, what string, kind Kind, unit string, targets ...Target) Slope {
+	return Slope{
+		Name:     name,
+		What:     what,
+		Kind:     kind,
+		Unit:     unit,
+		SizeName: z.name,
+		Sizes:    floats(z.list),
+		Targets:  targets,
+	}
+}
+
 // Target is a figure at the design size.
 type Target struct {
 	// What says what the figure is.
--- a/anvilcapacity/wire.go
+++ b/anvilcapacity/wire.go
@@ -15,8 +15,6 @@
 type wireCounter struct {
 	sent     atomic.Int64
 	received atomic.Int64
-	writes   atomic.Int64
-	dials    atomic.Int64
 }
 
 func (w *wireCounter) bytes() float64 {
@@ -30,7 +28,6 @@
 	if err != nil {
 		return nil, err
 	}
-	w.dials.Add(1)
 	return &countedConn{
 		Conn:    conn,
 		counter: w,
@@ -51,7 +48,6 @@
 // Write counts first: the reply can be here before the write returns.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.counter.sent.Add(int64(len(p)))
-	c.counter.writes.Add(1)
 	return c.Conn.Write(p)
 }
 
@@ -62,7 +58,7 @@
 	done    sync.WaitGroup
 }
 
-// startPeerServer serves handlers; those left out answer nothing.
+// startPeerServer serves handlers; calls of those left out are refused.
 func startPeerServer(h anvilpeer.Handlers) (*peerServer, error) {
 	h.Incarnation = func() anvilmodel.Incarnation { return peerIncarnation }
 	server, err := anvilpeer.NewServer(h)
