Bound the bytes of replies and requests that never end

Cause: the head of a leaf's reply, and interim responses before it, were read without a bound, and a body was given the memory that its length stated. The body of a caller that stops in the middle held its request for good: after the refusal the server drained the rest without a deadline.

Change: a reply's heads have 16 KB with interim responses, a body the setting MaxReplyBytes, and all bodies in flight a quarter of the machine's memory. Requests have to arrive while their caller waits; answers have to be read within 15 s; the connections of callers are bounded by the memory for their heads. The store's client and the protocol between nodes are held to their bounds by tests.

Ruled out: wrapping each reply in a limited reader alone; chunk extensions and trailers are bounded by net/http already.

--- a/anvilcommand/gateway.go
+++ b/anvilcommand/gateway.go
@@ -32,6 +32,13 @@
 	// and replies. The memory of the process divided by it bounds the requests that
 	// are worked on at a time.
 	requestBytes = 2 << 20
+	// bodyShare is the part of the memory that the bodies of requests and replies in
+	// flight may hold.
+	bodyShare = 0.25
+	// connectionBytes is what a caller's connection may hold while its request is
+	// read, connectionShare the part of the memory for all of them.
+	connectionBytes = 64 << 10
+	connectionShare = 0.25
 )
 
 // gatewayCommand runs a gateway on the users' platform.
@@ -63,6 +70,8 @@
 	}
 	config := settings.Gateway
 	config.MaxRequests = int(settings.MemoryBytes / requestBytes)
+	config.BodyMemory = int64(bodyShare * float64(settings.MemoryBytes))
+	config.MaxConnections = int(connectionShare * float64(settings.MemoryBytes) / connectionBytes)
 	writer := newLogWriter(out.stdout)
 	defer func() { _ = writer.Close() }()
 	config.Log = newLog(writer, level).With().Str("vm", config.Name).Logger()
--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -15,8 +14,6 @@
 )
 
 const (
-	// maxReplyBytes bounds the body of a leaf's reply.
-	maxReplyBytes = 8 << 20
 	// largeBody is the size from which a body is written while the reply is read: a
 	// leaf may answer before it has read a long body.
 	largeBody = 4 << 10
@@ -102,6 +99,8 @@
 	header http.Header
 	body   []byte
 	leaf   LeafReply
+	// held is the memory that the body holds.
+	held int64
 	// err says why there is no good answer.
 	err error
 }
@@ -200,9 +199,19 @@
 		return &reply{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := readBody(resp)
+	// The head may have been read together with a part of the body.
+	limit := g.config.MaxReplyBytes
+	conn.left = limit + limit/chunkOverhead + readBuffer
+	bodies := &bodyReader{
+		memory: &g.bodies,
+		limit:  limit,
+	}
+	body, err := bodies.read(resp.Body, resp.ContentLength)
 	if err != nil {
-		return &reply{err: err}
+		return &reply{
+			held: bodies.held,
+			err:  err,
+		}
 	}
 	leaf := g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
 	if leaf.Unreadable != "" {
@@ -212,7 +221,8 @@
 	}
 	if leaf.ID != "" && leaf.ID != out.id {
 		return &reply{
-			err: Crossed.New("the reply answers request %s", leaf.ID),
+			held: bodies.held,
+			err:  Crossed.New("the reply answers request %s", leaf.ID),
 		}
 	}
 	conn.idleFor = idleTime(resp.Header)
@@ -224,6 +234,7 @@
 		header: resp.Header,
 		body:   body,
 		leaf:   leaf,
+		held:   bodies.held,
 	}
 	switch {
 	case leaf.Misdirected:
@@ -233,7 +244,8 @@
 	case resp.StatusCode < 300 && leaf.Signature == "":
 		// Not an answer of this leaf: something else listens there, or it is spoilt.
 		return &reply{
-			err: Unsigned.New("the reply with status %d has no signature", resp.StatusCode),
+			held: bodies.held,
+			err:  Unsigned.New("the reply with status %d has no signature", resp.StatusCode),
 		}
 	case resp.StatusCode >= 500:
 		r.outcome = anvilbalance.OutcomeFailed
@@ -243,31 +255,20 @@
 	return r
 }
 
-// readResponse reads the head of the final response.
+// chunkOverhead is the part of a body that its chunks' heads may add: a leaf that
+// sends chunks of under 100 bytes is not answered for.
+const chunkOverhead = 8
+
+// readResponse reads the head of the final response. It returns TooLarge.
 func readResponse(conn *leafConn, request *http.Request) (*http.Response, error) {
-	for {
+	conn.left = maxReplyHeadBytes + readBuffer
+	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(conn.reader, request)
 		if err != nil || resp.StatusCode >= 200 {
 			return resp, err
 		}
 	}
-}
-
-// readBody reads the whole body.
-func readBody(resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > maxReplyBytes {
-		return nil, TooLarge.New("the reply has %d bytes", resp.ContentLength)
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = TooLarge.New("the reply has over %d bytes", maxReplyBytes)
-	}
-	return body, err
+	return nil, TooLarge.New("over %d interim responses came before the reply", maxInterimResponses)
 }
 
 // classify returns the outcome of a call that was sent and not answered.
--- a/anvilgateway/config.go
+++ b/anvilgateway/config.go
@@ -141,6 +141,12 @@
 	// Cores is the part of the processor that the node may use, in cores; 1 by
 	// default.
 	Cores float64
+	// MaxReplyBytes bounds the body of one reply of a leaf, and BodyMemory what the
+	// bodies of all requests and replies hold; 8 MB and 64 MB by default.
+	MaxReplyBytes int64
+	BodyMemory    int64
+	// MaxConnections bounds the connections of callers; 4,096 by default.
+	MaxConnections int
 	// MaxRequests bounds the requests that are worked on at a time; 1,000 by default.
 	MaxRequests int
 	// Seed is that of all random choices.
@@ -153,6 +159,9 @@
 	defaultGrace           = 6 * time.Second
 	longestAddressLifetime = 2 * time.Second
 	defaultMaxRequests     = 1000
+	defaultMaxReplyBytes   = 8 << 20
+	defaultBodyMemory      = 64 << 20
+	defaultMaxConnections  = 4096
 )
 
 func (c Config) withDefaults() Config {
@@ -168,5 +177,15 @@
 	if c.MaxRequests <= 0 {
 		c.MaxRequests = defaultMaxRequests
 	}
+	if c.MaxReplyBytes <= 0 {
+		c.MaxReplyBytes = defaultMaxReplyBytes
+	}
+	if c.BodyMemory <= 0 {
+		c.BodyMemory = defaultBodyMemory
+	}
+	c.MaxReplyBytes = min(c.MaxReplyBytes, c.BodyMemory)
+	if c.MaxConnections <= 0 {
+		c.MaxConnections = defaultMaxConnections
+	}
 	return c
 }
--- a/anvilgateway/connection.go
+++ b/anvilgateway/connection.go
@@ -64,7 +64,7 @@
 
 // leafConn is a connection to a leaf. One call at a time uses it.
 type leafConn struct {
-	net.Conn
+	*boundedConn
 	raw    syscall.RawConn
 	reader *bufio.Reader
 	// idleSince and idleFor say until when the connection may be used again.
@@ -153,11 +153,14 @@
 	}
 	// An error shows in the write that follows.
 	_ = conn.SetDeadline(deadline)
+	bounded := &boundedConn{
+		Conn: conn,
+	}
 	return &leafConn{
-		Conn:    conn,
-		raw:     raw,
-		reader:  bufio.NewReaderSize(conn, readBuffer),
-		idleFor: defaultIdle,
+		boundedConn: bounded,
+		raw:         raw,
+		reader:      bufio.NewReaderSize(bounded, readBuffer),
+		idleFor:     defaultIdle,
 	}, nil
 }
 
--- a/anvilgateway/errors.go
+++ b/anvilgateway/errors.go
@@ -11,6 +11,8 @@
 	// Unsigned means that a successful reply does not prove that the leaf ran the
 	// request.
 	Unsigned = Errors.NewType("unsigned")
-	// TooLarge means that a body is longer than accepted.
+	// TooLarge means that a head or a body is longer than accepted.
 	TooLarge = Errors.NewType("too_large")
+	// MemoryFull means that the bodies in flight hold all the memory that they may.
+	MemoryFull = Errors.NewType("memory_full")
 )
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -258,6 +258,7 @@
 			Protocol:        protocol(),
 			Store:           s.gateway(),
 			AddressLifetime: 100 * time.Millisecond,
+			BodyMemory:      replyMemory,
 			Balance: anvilbalance.Config{
 				RetrySlack: 50,
 			},
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"anvilbridge/anvilbalance"
 	"anvilbridge/anvilgather"
 	"anvilbridge/anvilmetric"
@@ -23,6 +27,10 @@
 	retryAfterStart = 300 * time.Millisecond
 	// retryAfterLeaving sends callers of a leaving node to another one.
 	retryAfterLeaving = 10 * time.Millisecond
+	// longestBodyTime is how long the body of a request may take to arrive.
+	longestBodyTime = 10 * time.Second
+	// writeTimeout is how long a caller may take to read an answer.
+	writeTimeout = 15 * time.Second
 	// retryAfterFull is stated when too many requests are worked on.
 	retryAfterFull = 200 * time.Millisecond
 )
@@ -56,6 +64,13 @@
 		writer:  w,
 		arrived: arrived,
 		opened:  firstOnConnection(r.Context()),
+		held: heldBytes{
+			memory: &g.bodies,
+		},
+	}
+	defer s.held.release()
+	if r.ContentLength != 0 {
+		s.limitRead(arrived.Add(longestBodyTime))
 	}
 	if refused := s.accept(r, running); refused != nil {
 		s.refuse(refused)
@@ -119,6 +134,7 @@
 	elapsed time.Duration
 	transit time.Duration
 
+	held       heldBytes
 	limiter    *anvilgather.Limiter
 	hedgeDelay time.Duration
 	request    *anvilgather.Request
@@ -165,7 +181,7 @@
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
 		return newRefusal(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", 0)
 	}
-	body, refused := readRequestBody(r, limits.BodyBytes)
+	body, refused := s.readBody(r, limits.BodyBytes, head.Timeout)
 	if refused != nil {
 		return refused
 	}
@@ -200,24 +216,44 @@
 	return int64(size)
 }
 
-func readRequestBody(r *http.Request, limit int64) ([]byte, *refusal) {
+// readBody reads the body of a request, which has to arrive while its caller waits.
+func (s *served) readBody(r *http.Request, limit int64, timeout time.Duration) ([]byte, *refusal) {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
 	if limit <= 0 {
-		limit = maxReplyBytes
+		limit = s.gateway.config.MaxReplyBytes
 	}
-	if r.ContentLength > limit {
-		return nil, newRefusal(http.StatusRequestEntityTooLarge, "body-too-large", 0)
+	if timeout <= 0 {
+		timeout = longestBodyTime
 	}
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, nil
+	s.limitRead(s.arrived.Add(min(timeout, longestBodyTime)))
+	bodies := &bodyReader{
+		memory: &s.gateway.bodies,
+		limit:  limit,
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := bodies.read(r.Body, r.ContentLength)
+	s.held.keep(bodies.held)
 	switch {
-	case err != nil:
-		return nil, newRefusal(http.StatusBadRequest, "body-incomplete", 0)
-	case int64(len(body)) > limit:
+	case err == nil:
+		s.limitRead(time.Time{})
+		return body, nil
+	case errorx.IsOfType(err, TooLarge):
 		return nil, newRefusal(http.StatusRequestEntityTooLarge, "body-too-large", 0)
+	case errorx.IsOfType(err, MemoryFull):
+		return nil, newRefusal(http.StatusServiceUnavailable, "memory-full", retryAfterFull)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, newRefusal(http.StatusRequestTimeout, "body-too-slow", 0)
+	default:
+		return nil, newRefusal(http.StatusBadRequest, "body-incomplete", 0)
 	}
-	return body, nil
+}
+
+// limitRead bounds the time in which the rest of the request may arrive. The server
+// reads what is left of a body before it sends a refusal.
+func (s *served) limitRead(deadline time.Time) {
+	// An error shows in the read that follows.
+	_ = http.NewResponseController(s.writer).SetReadDeadline(deadline)
 }
 
 // run sends the calls of the request, waits for what they bring and answers.
@@ -405,12 +441,19 @@
 	if status != http.StatusNoContent && status != http.StatusNotModified && s.out.request.Method != http.MethodHead {
 		s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	s.limitWrite()
 	s.writer.WriteHeader(status)
 	if _, err := s.writer.Write(body); err != nil {
 		s.gateway.config.Log.Info().Str("event", "answer-not-delivered").Str("request", s.id).Err(err).Send()
 	}
 }
 
+// limitWrite ends a connection whose caller does not read the answer.
+func (s *served) limitWrite() {
+	// An error shows in the write that follows.
+	_ = http.NewResponseController(s.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // refuse answers a request that was not accepted and logs it.
 func (s *served) refuse(x *refusal) {
 	s.write(x)
@@ -432,6 +475,7 @@
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(x.reason)+1))
+	s.limitWrite()
 	s.writer.WriteHeader(x.status)
 	// The caller may have left; there is nobody else to tell.
 	_, _ = io.WriteString(s.writer, x.reason+"\n")
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"anvilbridge/anvilbalance"
@@ -79,6 +80,7 @@
 	peers *anvilpeer.Client
 
 	copies *anvilfollower.Set
+	bodies bodyMemory
 
 	requests atomic.Int64
 	lastWork atomic.Int64
@@ -111,6 +113,7 @@
 		random:     rand.New(rand.NewPCG(c.Seed, 1)),
 		focus:      leastFocus,
 	}
+	g.bodies.limit = c.BodyMemory
 	c.Balance.FailureDomain = c.FailureDomain
 	c.Balance.Random = rand.New(rand.NewPCG(c.Seed, 2))
 	g.balancer = anvilbalance.New(c.Balance)
@@ -147,6 +150,7 @@
 		if err != nil {
 			return errorx.Decorate(err, "listening on %s", s.Addr)
 		}
+		listener = netutil.LimitListener(listener, g.config.MaxConnections)
 		group.Go(func() error {
 			if err := s.Serve(listener); err != http.ErrServerClosed {
 				return errorx.Decorate(err, "serving on %s", s.Addr)
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -60,6 +60,7 @@
 			Str("service", string(c.leaf.Service)).Str("kind", c.kind.String()).
 			Str("outcome", r.outcome.String()).Int("status", r.status).Dur("elapsed-ms", elapsed).Err(r.err).Send()
 	}
+	s.held.keep(r.held)
 	s.replies <- callEnd{
 		call:  c.index,
 		part:  c.part,
--- /dev/null
+++ b/anvilpeer/endless_test.go
@@ -0,0 +1,74 @@
+package anvilpeer_test
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	"anvilbridge/anvilpeer"
+	"anvilbridge/anvilstandin"
+)
+
+// Pattern: whatever listens at a node's address sends bytes without end. Guards
+// against a client or a server that takes them for as long as they come.
+func TestEndlessBytesEndTheConnection(t *testing.T) {
+	const (
+		// messageBytes is the greatest message that nodes exchange.
+		messageBytes = 16 << 20
+		// socketBuffers is what the kernel may hold of a connection over loopback.
+		socketBuffers = 10 << 20
+	)
+	for name, repeat := range map[string]string{
+		"text":         strings.Repeat("x", 1<<10),
+		"zeros":        strings.Repeat("\x00", 1<<10),
+		"message data": "\x04\x01\x01\xff\x07" + strings.Repeat("x", 1023),
+	} {
+		t.Run("client, "+name, func(t *testing.T) {
+			server, err := anvilstandin.NewEndless("", repeat)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Stop()
+			client := anvilpeer.NewClient(anvilpeer.ClientConfig{})
+			defer func() { _ = client.Close() }()
+			if _, err := client.Published(t.Context(), server.Address(), anvilpeer.PublishedQuestion{}); err == nil {
+				t.Error("the answer was accepted")
+			}
+			if sent := server.Sent(); sent > messageBytes+socketBuffers {
+				t.Errorf("%d MB were sent until the connection was closed", sent>>20)
+			}
+		})
+		t.Run("server, "+name, func(t *testing.T) {
+			server, err := anvilpeer.NewServer(anvilpeer.Handlers{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- server.Serve(ctx, listener) }()
+			defer func() {
+				cancel()
+				<-done
+			}()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			sent := 0
+			for err == nil && sent <= messageBytes+socketBuffers {
+				var n int
+				n, err = conn.Write([]byte(repeat))
+				sent += n
+			}
+			if err == nil {
+				t.Errorf("the connection takes more than %d MB", sent>>20)
+			}
+		})
+	}
+}
--- a/anvilplatform/client_test.go
+++ b/anvilplatform/client_test.go
@@ -1,6 +1,7 @@
 package anvilplatform_test
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -177,3 +178,42 @@
 		t.Errorf("read malformed list: got %v", err)
 	}
 }
+
+// Pattern: a server in trouble sends bytes that are no answer without end. Guards
+// against a reader that takes them for as long as they come.
+func TestEndlessReplyIsRefused(t *testing.T) {
+	const (
+		limit = 1 << 20
+		// socketBuffers is what the kernel may hold of a connection over loopback.
+		socketBuffers = 10 << 20
+	)
+	for name, c := range map[string]struct{ first, repeat string }{
+		"header lines":      {"HTTP/1.1 200 OK\r\n", "Some-Header: with a value\r\n"},
+		"one header line":   {"HTTP/1.1 200 OK\r\nSome-Header: ", strings.Repeat("x", 1<<10)},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
+		"body":              {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, err := anvilstandin.NewEndless(c.first, c.repeat)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Stop()
+			dialer := net.Dialer{}
+			reader := anvilplatform.NewReader(dialer.DialContext)
+			defer reader.Close()
+			_, _, err = reader.Get(t.Context(), anvilplatform.Read{
+				Address: server.Address(),
+				Path:    "/x",
+				Timeout: longEnough,
+				Limit:   limit,
+			})
+			if err == nil {
+				t.Error("the reply was accepted")
+			}
+			if sent := server.Sent(); sent > limit+socketBuffers {
+				t.Errorf("%d MB were sent until the connection was closed, want %d at most", sent>>20, (limit+socketBuffers)>>20)
+			}
+		})
+	}
+}
--- a/anvilplatform/reader.go
+++ b/anvilplatform/reader.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// maxHeadBytes bounds the head of a reply, which has a few hundred bytes.
+const maxHeadBytes = 16 << 10
+
 // Read is one read over HTTP.
 type Read struct {
 	Address netip.AddrPort
@@ -34,6 +37,8 @@
 			DialContext:        dial,
 			DisableCompression: true,
 			IdleConnTimeout:    idleTimeout,
+			// Interim responses count towards it.
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
--- /dev/null
+++ b/anvilstandin/endless.go
@@ -0,0 +1,80 @@
+package anvilstandin
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+)
+
+// Endless is a server in trouble: on each connection it sends bytes without end once
+// it has been asked something, until the client closes the connection.
+type Endless struct {
+	listener net.Listener
+	first    []byte
+	repeat   []byte
+	closed   atomic.Int64
+	sent     atomic.Int64
+}
+
+// NewEndless starts a server that sends the first bytes and then repeats the others.
+// It must be stopped.
+func NewEndless(first, repeat string) (*Endless, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Endless{
+		listener: listener,
+		first:    []byte(first),
+		repeat:   []byte(repeat),
+	}
+	go e.serve()
+	return e, nil
+}
+
+// Address returns where the server listens.
+func (e *Endless) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(e.listener.Addr().String())
+}
+
+// Closed returns the number of connections that clients have closed.
+func (e *Endless) Closed() int64 {
+	return e.closed.Load()
+}
+
+// Sent returns the bytes that were sent on all connections, with those that clients
+// have not read.
+func (e *Endless) Sent() int64 {
+	return e.sent.Load()
+}
+
+// Stop ends listening. Connections end when their clients close them.
+func (e *Endless) Stop() {
+	_ = e.listener.Close()
+}
+
+func (e *Endless) serve() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.send(conn)
+	}
+}
+
+func (e *Endless) send(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		e.closed.Add(1)
+	}()
+	var question [1]byte
+	if _, err := conn.Read(question[:]); err != nil {
+		return
+	}
+	n, err := conn.Write(e.first)
+	for err == nil {
+		e.sent.Add(int64(n))
+		n, err = conn.Write(e.repeat)
+	}
+}
