Take a reply for a call's only if it names the request, and pass copies over

Cause: a reply without an id was taken for the reply to the call, also its promise that the request has not run; a late second copy of another answer made the call count as lost although its own reply followed on the same connection.

Tests: TestLateCopyIsPassedOver, TestReplyWithoutIDCountsForNothing and TestForeignPartIsMissing fail on the code before. The stand-ins of two older tests now name the request, as leafs do on the platform.

--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"anvilbridge/anvilbalance"
 )
 
@@ -17,6 +19,9 @@
 	// largeBody is the size from which a body is written while the reply is read: a
 	// leaf may answer before it has read a long body.
 	largeBody = 4 << 10
+	// maxStrayReplies bounds the replies to other requests that are passed over before
+	// the reply to a call. A leaf sends a second copy at most.
+	maxStrayReplies = 2
 )
 
 // hopHeaders concern one connection only and are not forwarded.
@@ -192,11 +197,30 @@
 	return n, nil
 }
 
-// read reads the reply of a call.
+// read reads the reply of a call. Replies to other requests, which a leaf may send
+// twice and late, are passed over.
 func (g *Gateway) read(conn *leafConn, out *outbound) *reply {
+	var held int64
+	for range maxStrayReplies + 1 {
+		r, last := g.readOne(conn, out)
+		held += r.held
+		r.held = held
+		if last || !errorx.IsOfType(r.err, Crossed) {
+			return r
+		}
+	}
+	return &reply{
+		held: held,
+		err:  Crossed.New("over %d replies to other requests came before the reply", maxStrayReplies),
+	}
+}
+
+// readOne reads the next reply on a connection; last says that no other one can
+// follow.
+func (g *Gateway) readOne(conn *leafConn, out *outbound) (r *reply, last bool) {
 	resp, err := readResponse(conn, out.request)
 	if err != nil {
-		return &reply{err: err}
+		return &reply{err: err}, true
 	}
 	defer func() { _ = resp.Body.Close() }()
 	// The head may have been read together with a part of the body.
@@ -207,11 +231,17 @@
 		limit:  limit,
 	}
 	body, err := bodies.read(resp.Body, resp.ContentLength)
+	r = &reply{
+		held: bodies.held,
+		err:  err,
+	}
 	if err != nil {
-		return &reply{
-			held: bodies.held,
-			err:  err,
-		}
+		return r, true
+	}
+	conn.idleFor = idleTime(resp.Header)
+	last = resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if last {
+		conn.idleFor = 0
 	}
 	leaf := g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
 	if leaf.Unreadable != "" {
@@ -219,44 +249,48 @@
 			Str("leaf", string(leaf.Instance)).Str("header", leaf.Unreadable).
 			Str("value", resp.Header.Get(leaf.Unreadable)).Send()
 	}
-	if leaf.ID != "" && leaf.ID != out.id {
-		return &reply{
-			held: bodies.held,
-			err:  Crossed.New("the reply answers request %s", leaf.ID),
-		}
+	if r.err = ownReply(leaf, resp.StatusCode, out.id); r.err != nil {
+		return r, last
 	}
-	conn.idleFor = idleTime(resp.Header)
-	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		conn.idleFor = 0
-	}
-	r := &reply{
-		status: resp.StatusCode,
-		header: resp.Header,
-		body:   body,
-		leaf:   leaf,
-		held:   bodies.held,
+	r.status = resp.StatusCode
+	r.header = resp.Header
+	r.body = body
+	r.leaf = leaf
+	r.outcome = outcomeOf(leaf, resp.StatusCode)
+	return r, last
+}
+
+// ownReply returns an error for a reply that does not prove to answer the request.
+// What it says then counts for nothing, also that the leaf has not run the request.
+func ownReply(leaf LeafReply, status int, id string) error {
+	switch {
+	case leaf.ID == "":
+		return Unidentified.New("the reply with status %d does not name its request", status)
+	case leaf.ID != id:
+		return Crossed.New("the reply answers request %s", leaf.ID)
+	case status < 300 && leaf.Signature == "" && !leaf.NotRun:
+		// Not an answer of this leaf: something else listens there, or it is spoilt.
+		return Unsigned.New("the reply with status %d has no signature", status)
+	default:
+		return nil
 	}
+}
+
+func outcomeOf(leaf LeafReply, status int) anvilbalance.Outcome {
 	switch {
 	case leaf.Misdirected:
-		r.outcome = anvilbalance.OutcomeMisdirected
+		return anvilbalance.OutcomeMisdirected
 	case leaf.NotRun:
-		r.outcome = anvilbalance.OutcomeShed
-	case resp.StatusCode < 300 && leaf.Signature == "":
-		// Not an answer of this leaf: something else listens there, or it is spoilt.
-		return &reply{
-			held: bodies.held,
-			err:  Unsigned.New("the reply with status %d has no signature", resp.StatusCode),
-		}
-	case resp.StatusCode >= 500:
-		r.outcome = anvilbalance.OutcomeFailed
+		return anvilbalance.OutcomeShed
+	case status >= 500:
+		return anvilbalance.OutcomeFailed
 	default:
-		r.outcome = anvilbalance.OutcomeGood
+		return anvilbalance.OutcomeGood
 	}
-	return r
 }
 
-// chunkOverhead is the part of a body that its chunks' heads may add: a leaf that
-// sends chunks of under 100 bytes is not answered for.
+// chunkOverhead limits what the heads of chunks may add to the greatest body: an
+// eighth of it.
 const chunkOverhead = 8
 
 // readResponse reads the head of the final response. It returns TooLarge.
--- a/anvilgateway/errors.go
+++ b/anvilgateway/errors.go
@@ -8,6 +8,8 @@
 var (
 	// Crossed means that a reply answers another request.
 	Crossed = Errors.NewType("crossed")
+	// Unidentified means that a reply does not say which request it answers.
+	Unidentified = Errors.NewType("unidentified")
 	// Unsigned means that a successful reply does not prove that the leaf ran the
 	// request.
 	Unsigned = Errors.NewType("unsigned")
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -357,11 +357,11 @@
 // goodLeaf answers with a signature and a body that name the leaf.
 func goodLeaf(id, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerID, r.Header.Get(headerID))
 		if r.Header.Get(headerLeaf) != id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		w.Header().Set(headerID, r.Header.Get(headerID))
 		w.Header().Set(headerSignature, "by-"+id)
 		_, _ = io.WriteString(w, body)
 	}
--- a/anvilgateway/gateway_test.go
+++ b/anvilgateway/gateway_test.go
@@ -123,7 +123,8 @@
 // leaf can run the request.
 func TestShedCallGoesToAnotherLeaf(t *testing.T) {
 	s := newStore()
-	s.register(startLeaf(t, "full", "a", func(w http.ResponseWriter, _ *http.Request) {
+	s.register(startLeaf(t, "full", "a", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerID, r.Header.Get(headerID))
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
--- /dev/null
+++ b/anvilgateway/identity_test.go
@@ -0,0 +1,171 @@
+package anvilgateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+// startRawLeaf runs a leaf that writes what reply returns for each request on a
+// connection, counted from 0, and returns its address and the number of its runs.
+func startRawLeaf(t *testing.T, reply func(id string, number int) string) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	runs := new(atomic.Int64)
+	var serving sync.WaitGroup
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for number := 0; ; number++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					runs.Add(1)
+					if _, err := conn.Write([]byte(reply(r.Header.Get(headerID), number))); err != nil {
+						return
+					}
+				}
+			})
+		}
+	})
+	t.Cleanup(serving.Wait)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String(), runs
+}
+
+// rawReply is a signed reply; an empty id is left out.
+func rawReply(id, body string) string {
+	line := ""
+	if id != "" {
+		line = headerID + ": " + id + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s: s\r\nContent-Length: %d\r\n\r\n%s", line, headerSignature, len(body), body)
+}
+
+// Pattern: a second copy of an answer arrives on a connection that was found quiet
+// and is in use again, before the answer to the next request. Guards against an
+// answer that reaches another caller, and against a non-idempotent request that is
+// called lost although its own answer follows.
+func TestLateCopyIsPassedOver(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			var mu sync.Mutex
+			last := ""
+			address, runs := startRawLeaf(t, func(id string, number int) string {
+				mu.Lock()
+				defer mu.Unlock()
+				text := rawReply(id, id)
+				if number > 0 {
+					text = rawReply(last, last) + text
+				}
+				last = id
+				return text
+			})
+			s := newStore()
+			s.register(entry("a1", "a", address))
+			s.configure(oneRoute(single("get", "/get/", "a", method == http.MethodPost)))
+			g := startReady(t, s)
+			const requests = 10
+			for i := range requests {
+				id := fmt.Sprint("id-", i)
+				got, err := g.send(t.Context(), method, "/get/x", id)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if diff := cmp.Diff([]any{http.StatusOK, id}, []any{got.status, got.body}); diff != "" {
+					t.Fatalf("answer to %s (-want +got):\n%s", id, diff)
+				}
+			}
+			if diff := cmp.Diff(int64(requests), runs.Load()); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Pattern: a leaf's reply does not say which request it answers. Guards against a
+// copy of another request's answer that is taken for the reply: as a success, or as
+// the promise that a non-idempotent request has not run.
+func TestReplyWithoutIDCountsForNothing(t *testing.T) {
+	notRun := "HTTP/1.1 503 Service Unavailable\r\n" + headerNotRun + ": 1\r\nContent-Length: 0\r\n\r\n"
+	for name, text := range map[string]string{
+		"success": rawReply("", "another caller's"),
+		"not run": notRun,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore()
+			var all []*atomic.Int64
+			for i := range 3 {
+				address, runs := startRawLeaf(t, func(string, int) string { return text })
+				s.register(entry(fmt.Sprint("a", i), "a", address))
+				all = append(all, runs)
+			}
+			s.configure(oneRoute(single("book", "/book/", "a", true)))
+			g := startReady(t, s)
+			got, err := g.send(t.Context(), http.MethodPost, "/book/1", "id-1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			sum := int64(0)
+			for _, runs := range all {
+				sum += runs.Load()
+			}
+			if diff := cmp.Diff([]any{http.StatusBadGateway, int64(1)}, []any{got.status, sum}); diff != "" {
+				t.Errorf("status and runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a part without an id, or of another request, in a merged answer.
+func TestForeignPartIsMissing(t *testing.T) {
+	s := newStore()
+	s.register(startLeaf(t, "a1", "a", goodLeaf("a1", "record-1-1234567")))
+	for name, id := range map[string]string{"b": "", "c": "id-other"} {
+		address, _ := startRawLeaf(t, func(string, int) string { return rawReply(id, "record-9-1234567") })
+		s.register(entry(name+"1", name, address))
+	}
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a"), service("b"), service("c")},
+		Routes: []anvilroute.Route{{
+			Name:        "query",
+			Host:        "lots.example",
+			Prefix:      "/query/",
+			Timeout:     2 * time.Second,
+			Target:      time.Second,
+			Attempts:    1,
+			Shards:      []anvilmodel.ServiceName{"a", "b", "c"},
+			TopRecords:  3,
+			MinCoverage: 0.3,
+		}},
+	})
+	g := startReady(t, s)
+	got, err := g.send(t.Context(), http.MethodGet, "/query/x", "id-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{http.StatusOK, "record-1-1234567", "2"}, []any{got.status, got.body, got.header.Get(headerMissing)}); diff != "" {
+		t.Errorf("status, records and missing parts (-want +got):\n%s", diff)
+	}
+}
