Answer the requests that are left at the end of a planned stop

Cause: when the grace was over, or between the last look at the running requests and the close of the servers, connections were cut without an answer.

Ruled out: a longer wait; the grace is the platform's.

Change: the node refuses new requests, answers those that are left with what is there (a query with enough parts, otherwise that it failed, or was not run), and ends its servers gracefully, so that requests that have just arrived get a refusal.

Tests: TestShutdownAnswersWhatIsLeft fails on the code before (EOF); planned stops under load, answers that break off halfway and entries that lapse during a call have tests that pass on it too.

--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -131,6 +131,21 @@
 	s.put("leafs/" + string(l.ID))
 }
 
+// unregister removes a leaf's entry.
+func (s *store) unregister(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	key := "leafs/" + id
+	s.items[key] = anvilmirror.Item{
+		Key:      key,
+		Revision: s.revision,
+		Deleted:  true,
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *store) read(prefix string, after uint64) (anvilmirror.Changes, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,7 +154,7 @@
 		Complete: after == 0,
 	}
 	for key, i := range s.items {
-		if strings.HasPrefix(key, prefix) && i.Revision > after {
+		if strings.HasPrefix(key, prefix) && i.Revision > after && !(i.Deleted && c.Complete) {
 			c.Items = append(c.Items, i)
 		}
 	}
@@ -239,6 +254,12 @@
 
 // startGateway runs a gateway until the test ends.
 func startGateway(tb testing.TB, s *store, seeds ...netip.AddrPort) *running {
+	tb.Helper()
+	return startWithGrace(tb, s, 0, seeds...)
+}
+
+// startWithGrace runs a gateway that has the grace to end, 0 for the default.
+func startWithGrace(tb testing.TB, s *store, grace time.Duration, seeds ...netip.AddrPort) *running {
 	tb.Helper()
 	metrics := anvilmetric.New(anvilmetric.Config{})
 	addresses := anvilgateway.Addresses{
@@ -258,6 +279,7 @@
 			Protocol:        protocol(),
 			Store:           s.gateway(),
 			AddressLifetime: 100 * time.Millisecond,
+			Grace:           grace,
 			BodyMemory:      replyMemory,
 			Balance: anvilbalance.Config{
 				RetrySlack: 50,
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -339,6 +339,8 @@
 			actions = s.handle(end, actions)
 		case <-timer.C:
 			actions = s.request.Tick(time.Now(), actions)
+		case <-s.gateway.ending:
+			actions = s.request.End(actions)
 		case <-caller.Done():
 			return nil
 		}
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -89,6 +89,8 @@
 	// leaving is set by the signal to stop, closing when new requests are refused.
 	leaving atomic.Bool
 	closing atomic.Bool
+	// ending is closed when requests have to be answered with what is there.
+	ending chan struct{}
 }
 
 // leafPool is the pool of one process of a leaf.
@@ -105,6 +107,7 @@
 		config:     c,
 		background: background,
 		stop:       stop,
+		ending:     make(chan struct{}),
 		splitter:   anvilroute.NewSplitter(),
 		clock:      anvilgather.NewCallerClock(),
 		limiters:   make(map[anvilmodel.ServiceName]*anvilgather.Limiter),
@@ -144,6 +147,7 @@
 	if err != nil {
 		return err
 	}
+	var closing sync.WaitGroup
 	group, serving := errgroup.WithContext(g.background)
 	for _, s := range g.servers() {
 		listener, err := net.Listen("tcp", s.Addr)
@@ -157,7 +161,11 @@
 			}
 			return nil
 		})
-		context.AfterFunc(serving, func() { _ = s.Close() })
+		closing.Add(1)
+		context.AfterFunc(serving, func() {
+			defer closing.Done()
+			g.closeServer(s)
+		})
 	}
 	listener, err := net.Listen("tcp", g.config.Addresses.Peer.String())
 	if err != nil {
@@ -170,6 +178,7 @@
 	g.config.Log.Info().Str("event", "started").Stringer("caller-address", g.config.Addresses.Caller).
 		Str("failure-domain", string(g.config.FailureDomain)).Send()
 	err = group.Wait()
+	closing.Wait()
 	g.stop()
 	g.tasks.Wait()
 	g.closePools()
@@ -180,6 +189,16 @@
 	return err
 }
 
+// closeServer ends a server. Requests that its connections bring until then are still
+// answered.
+func (g *Gateway) closeServer(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
 // servers returns the HTTP servers. Addresses that are the same share one.
 func (g *Gateway) servers() []*http.Server {
 	a := g.config.Addresses
--- a/anvilgateway/identity_test.go
+++ b/anvilgateway/identity_test.go
@@ -169,3 +169,75 @@
 		t.Errorf("status, records and missing parts (-want +got):\n%s", diff)
 	}
 }
+
+// Pattern: a leaf breaks its answer off halfway. Guards against a part of an answer
+// that reaches the caller as a complete success.
+func TestBrokenOffReplyIsNoSuccess(t *testing.T) {
+	for name, body := range map[string]string{
+		"stated length": "Content-Length: 100\r\n\r\nhalf",
+		"chunk":         "Transfer-Encoding: chunked\r\n\r\n64\r\nhalf",
+		"last chunk":    "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStore()
+			s.register(startLeaf(t, "a1", "a", func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n%s", headerID, r.Header.Get(headerID), headerSignature, body)
+				_ = conn.Close()
+			}))
+			s.configure(oneRoute(single("book", "/book/", "a", true)))
+			g := startReady(t, s)
+			got, err := g.send(t.Context(), http.MethodPost, "/book/1", "id-1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(http.StatusBadGateway, got.status); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Pattern: a leaf's entry lapses while it works, because its reports are late. Guards
+// against running work that is started again elsewhere, or given up.
+func TestCallOutlivesTheLeafsEntry(t *testing.T) {
+	s := newStore()
+	var runs atomic.Int64
+	begun, release := make(chan struct{}, 2), make(chan struct{})
+	for i := range 2 {
+		id := fmt.Sprint("a", i)
+		s.register(startLeaf(t, id, "a", func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(headerID) == "id-1" {
+				runs.Add(1)
+				begun <- struct{}{}
+				<-release
+			}
+			goodLeaf(id, "done")(w, r)
+		}))
+	}
+	s.configure(oneRoute(single("book", "/book/", "a", true)))
+	g := startReady(t, s)
+	answers := make(chan answer, 1)
+	go func() {
+		got, err := g.send(t.Context(), http.MethodPost, "/book/1", "id-1")
+		if err != nil {
+			t.Error(err)
+		}
+		answers <- got
+	}()
+	<-begun
+	s.unregister("a0")
+	s.unregister("a1")
+	eventually(t, "the gateway knows of no leaf", func() bool {
+		got, err := g.send(t.Context(), http.MethodPost, "/book/1", "id-2")
+		return err == nil && got.status == http.StatusServiceUnavailable
+	})
+	close(release)
+	if diff := cmp.Diff([]any{"done", int64(1)}, []any{(<-answers).body, runs.Load()}); diff != "" {
+		t.Errorf("answer and runs (-want +got):\n%s", diff)
+	}
+}
--- a/anvilgateway/shutdown.go
+++ b/anvilgateway/shutdown.go
@@ -17,13 +17,21 @@
 	finishReserve = 1300 * time.Millisecond
 	// exitReserve is the part of the grace that is left for the process to end.
 	exitReserve = 250 * time.Millisecond
+	// answerReserve is the part of the grace before it in which requests that are still
+	// worked on get their last answer.
+	answerReserve = 150 * time.Millisecond
+	// closeTime bounds the end of a server with the requests that have just arrived.
+	closeTime = 100 * time.Millisecond
+	// endPoll is how often a node that ends looks whether requests are left.
+	endPoll = 5 * time.Millisecond
 	// leavePoll is how often a leaving node looks whether it may end.
 	leavePoll = 50 * time.Millisecond
 )
 
 // Shutdown ends the gateway gracefully. The node tells the others, is no longer
 // named to callers, and serves those that come all the same until none has come
-// for a while or the grace is nearly over. It returns when Run may return.
+// for a while or the grace is nearly over. Requests that are still worked on then
+// are answered with what is there. It returns when Run may return.
 func (g *Gateway) Shutdown(ctx context.Context, cause string) {
 	if g.leaving.Swap(true) {
 		return
@@ -31,24 +39,41 @@
 	start := time.Now()
 	g.config.Log.Info().Str("event", "leaving").Str("cause", cause).Int64("requests", g.requests.Load()).Send()
 	g.updateSelf()
+	latest := start.Add(g.config.Grace - exitReserve)
+	g.serveLast(ctx, start, latest)
+	g.closing.Store(true)
+	g.waitIdle(ctx, latest.Add(-answerReserve))
+	left := g.requests.Load()
+	close(g.ending)
+	g.waitIdle(ctx, latest)
+	g.config.Log.Info().Str("event", "ending").Int64("requests-ended", left).
+		Int64("requests-cut", g.requests.Load()).Dur("after-ms", time.Since(start)).Send()
+	g.stop()
+}
+
+// serveLast serves callers of a leaving node until none has come for a while.
+func (g *Gateway) serveLast(ctx context.Context, start, latest time.Time) {
 	earliest := start.Add(g.config.AddressLifetime + settleMargin)
 	refuse := start.Add(g.config.Grace - finishReserve)
-	latest := start.Add(g.config.Grace - exitReserve)
-	for {
+	for ctx.Err() == nil {
 		now := time.Now()
 		if !now.Before(refuse) && !g.closing.Swap(true) {
 			g.config.Log.Info().Str("event", "refusing").Int64("requests", g.requests.Load()).Send()
 		}
 		idle := g.requests.Load() == 0
 		quiet := now.Sub(time.Unix(0, g.lastWork.Load())) > quietTime
-		if idle && quiet && now.After(earliest) || !now.Before(latest) || ctx.Err() != nil {
-			break
+		if idle && quiet && now.After(earliest) || !now.Before(latest.Add(-answerReserve)) {
+			return
 		}
 		pause(ctx, leavePoll)
 	}
-	g.config.Log.Info().Str("event", "ending").Int64("requests-cut", g.requests.Load()).
-		Dur("after-ms", time.Since(start)).Send()
-	g.stop()
+}
+
+// waitIdle waits until no request is worked on.
+func (g *Gateway) waitIdle(ctx context.Context, latest time.Time) {
+	for g.requests.Load() > 0 && time.Now().Before(latest) && ctx.Err() == nil {
+		pause(ctx, endPoll)
+	}
 }
 
 // Reload takes new settings over. Addresses cannot be changed.
--- /dev/null
+++ b/anvilgateway/shutdown_test.go
@@ -0,0 +1,130 @@
+package anvilgateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilroute"
+)
+
+// Pattern: a leaf does not answer until the grace of a planned stop is over. Guards
+// against an accepted request whose connection is cut without an answer.
+func TestShutdownAnswersWhatIsLeft(t *testing.T) {
+	s := newStore()
+	begun := make(chan struct{}, 2)
+	stuck := make(chan struct{})
+	defer close(stuck)
+	hang := func(http.ResponseWriter, *http.Request) {
+		begun <- struct{}{}
+		<-stuck
+	}
+	s.register(startLeaf(t, "a1", "a", hang))
+	s.register(startLeaf(t, "b1", "b", goodLeaf("b1", "record-1-1234567")))
+	s.configure(anvilroute.Configuration{
+		Version:  1,
+		Services: []anvilroute.Service{service("a"), service("b")},
+		Routes: []anvilroute.Route{
+			single("book", "/book/", "a", true),
+			{
+				Name:        "query",
+				Host:        "lots.example",
+				Prefix:      "/query/",
+				Timeout:     time.Minute,
+				Target:      time.Minute,
+				Attempts:    1,
+				Shards:      []anvilmodel.ServiceName{"a", "b"},
+				TopRecords:  2,
+				MinCoverage: 0.5,
+			},
+		},
+	})
+	g := startWithGrace(t, s, 1500*time.Millisecond)
+	eventually(t, "the gateway is ready", g.ready)
+	type end struct {
+		path   string
+		answer answer
+		err    error
+	}
+	ends := make(chan end, 2)
+	for _, path := range []string{"/book/1", "/query/x"} {
+		go func() {
+			got, err := g.send(t.Context(), http.MethodPost, path, "id-"+path)
+			ends <- end{
+				path:   path,
+				answer: got,
+				err:    err,
+			}
+		}()
+		<-begun
+	}
+	g.Shutdown(t.Context(), "test")
+	want := map[string]int{
+		"/book/1":  http.StatusBadGateway,
+		"/query/x": http.StatusOK,
+	}
+	for range want {
+		e := <-ends
+		if e.err != nil {
+			t.Errorf("%s: %v", e.path, e.err)
+			continue
+		}
+		if diff := cmp.Diff(want[e.path], e.answer.status); diff != "" {
+			t.Errorf("status of %s (-want +got):\n%s", e.path, diff)
+		}
+	}
+}
+
+// Pattern: a planned stop under load, with callers that go on using their open
+// connections until the process is gone. Guards against requests that have run at a
+// leaf and whose callers get no answer.
+func TestShutdownUnderLoadLosesNoAnswer(t *testing.T) {
+	s := newStore()
+	var ran sync.Map
+	leaf := goodLeaf("a1", "done")
+	s.register(startLeaf(t, "a1", "a", func(w http.ResponseWriter, r *http.Request) {
+		ran.Store(r.Header.Get(headerID), true)
+		time.Sleep(time.Millisecond)
+		leaf(w, r)
+	}))
+	c := oneRoute(single("book", "/book/", "a", true))
+	c.Services[0].MaxConnections = 200
+	s.configure(c)
+	g := startWithGrace(t, s, 2*time.Second)
+	eventually(t, "the gateway is ready", g.ready)
+	const callers = 8
+	var sent atomic.Int64
+	var calling sync.WaitGroup
+	stopped := make(chan struct{})
+	for i := range callers {
+		calling.Go(func() {
+			for k := 0; ; k++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				id := fmt.Sprintf("id-%d-%d", i, k)
+				sent.Add(1)
+				if _, err := g.send(t.Context(), http.MethodPost, "/book/1", id); err != nil {
+					if _, ok := ran.Load(id); ok {
+						t.Errorf("request %s has run and its caller got no answer: %v", id, err)
+					}
+					return
+				}
+			}
+		})
+	}
+	for sent.Load() < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	g.Shutdown(t.Context(), "test")
+	close(stopped)
+	calling.Wait()
+}
--- a/anvilgather/action.go
+++ b/anvilgather/action.go
@@ -78,6 +78,8 @@
 	CauseTarget
 	// CauseTimeout means that the time of the request was over.
 	CauseTimeout
+	// CauseLeaving means that the process ends.
+	CauseLeaving
 )
 
 var causeNames = map[Cause]string{
@@ -88,6 +90,7 @@
 	CauseLost:       "leaf-lost",
 	CauseTarget:     "target-reached",
 	CauseTimeout:    "timeout",
+	CauseLeaving:    "leaving",
 }
 
 // String returns the name used in logs and metrics.
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -243,6 +243,18 @@
 	return r.settle(now, actions)
 }
 
+// End ends the request with what is in, because the process ends.
+func (r *Request) End(actions []Action) []Action {
+	switch {
+	case r.done:
+		return actions
+	case r.config.Route.FansOut() && r.in >= r.need:
+		return r.finish(FinishAnswered, CauseLeaving, actions)
+	default:
+		return r.finish(r.failure(), CauseLeaving, actions)
+	}
+}
+
 // hedge sends a second call for a part whose first one is overdue.
 func (r *Request) hedge(index int, now time.Time, actions []Action) []Action {
 	p := &r.parts[index]
