Ask a silent store again while a node has no copy yet

The nodes were back 0.05 to 0.4 s before it, and their first read, asked before its return, was never answered; it timed out after 1.5 s, and 128 requests of two seconds were refused for want of a configuration.

Change: a node without a copy begins a further read each 300 ms while those before stay open, six at most.

Test: TestStartSeesTheStoresReturn fails with one read.

--- a/anvilfollower/config.go
+++ b/anvilfollower/config.go
@@ -21,6 +21,12 @@
 	watchPause = 100 * time.Millisecond
 	// readTimeout bounds a read of all items, with its pages.
 	readTimeout = 4 * time.Second
+	// firstReadDelay is the time between two reads of a node that has no copy yet, if
+	// the store stays silent: what was asked before its return may never be answered.
+	// Reads before stay open. The store answers in milliseconds.
+	firstReadDelay = 300 * time.Millisecond
+	// firstReads bounds the reads that such a node has open.
+	firstReads = 6
 	// firstRetry and longestRetry bound the time between two reads of a store that
 	// does not answer.
 	firstRetry   = 50 * time.Millisecond
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -235,7 +235,11 @@
 func (f *Follower) readAll(ctx context.Context, kind string) (anvilmirror.Changes, error) {
 	limited, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	c, err := f.config.ReadAll(limited, f.config.Prefix)
+	read := f.config.ReadAll
+	if !f.Loaded() {
+		read = f.readFirst
+	}
+	c, err := read(limited, f.config.Prefix)
 	f.config.CountRead(kind, err == nil)
 	if err == nil && f.take(c, 0) && kind == kindVerify {
 		f.config.Log.Info().Str("event", "watch-was-behind").Str("prefix", f.config.Prefix).
@@ -244,6 +248,46 @@
 	return c, err
 }
 
+// readFirst reads all items with further reads beside the first one while the store
+// is silent. The first answer counts.
+func (f *Follower) readFirst(ctx context.Context, prefix string) (anvilmirror.Changes, error) {
+	type end struct {
+		changes anvilmirror.Changes
+		err     error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ends := make(chan end, firstReads)
+	begun, open := 0, 0
+	begin := func() {
+		begun++
+		open++
+		go func() {
+			c, err := f.config.ReadAll(ctx, prefix)
+			ends <- end{
+				changes: c,
+				err:     err,
+			}
+		}()
+	}
+	begin()
+	ticker := time.NewTicker(firstReadDelay)
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-ends:
+			open--
+			if e.err == nil || open == 0 {
+				return e.changes, e.err
+			}
+		case <-ticker.C:
+			if begun < firstReads {
+				begin()
+			}
+		}
+	}
+}
+
 // kindVerify is the kind of the reads that check the watches.
 const kindVerify = "verify"
 
--- a/anvilfollower/model_test.go
+++ b/anvilfollower/model_test.go
@@ -29,6 +29,8 @@
 	// storeDelay is how long the store takes for an answer, hopDelay a node.
 	storeDelay = 4 * time.Millisecond
 	hopDelay   = time.Millisecond
+	// callTimeout is how long a call of the store waits for an answer.
+	callTimeout = 1500 * time.Millisecond
 	// gossipDelay is how old the members' revisions are at most.
 	gossipDelay = time.Second
 )
@@ -53,6 +55,8 @@
 	troubleLate
 	// troubleRefused refuses all calls.
 	troubleRefused
+	// troubleHanging never answers what is asked.
+	troubleHanging
 	troubles
 )
 
@@ -145,6 +149,10 @@
 
 func (s *store) readAll(ctx context.Context, node, prefix string) (anvilmirror.Changes, error) {
 	t, delay := s.begin(node)
+	if t == troubleHanging {
+		<-ctx.Done()
+		return anvilmirror.Changes{}, ctx.Err()
+	}
 	s.mu.Lock()
 	c := anvilmirror.Changes{
 		Revision: s.revision,
@@ -167,6 +175,10 @@
 
 func (s *store) watch(ctx context.Context, node, prefix string, after uint64, wait time.Duration) (anvilmirror.Changes, error) {
 	t, delay := s.begin(node)
+	if t == troubleHanging {
+		<-ctx.Done()
+		return anvilmirror.Changes{}, ctx.Err()
+	}
 	if err := sleep(ctx, delay); err != nil {
 		return anvilmirror.Changes{}, err
 	}
@@ -283,9 +295,13 @@
 		return anvilfollower.New(anvilfollower.Config{
 			Prefix: prefix,
 			ReadAll: func(ctx context.Context, prefix string) (anvilmirror.Changes, error) {
+				ctx, cancel := context.WithTimeout(ctx, callTimeout)
+				defer cancel()
 				return f.store.readAll(ctx, name, prefix)
 			},
 			Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) (anvilmirror.Changes, error) {
+				ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+				defer cancel()
 				return f.store.watch(ctx, name, prefix, after, wait)
 			},
 			Published: f.published,
--- a/anvilfollower/schedule_test.go
+++ b/anvilfollower/schedule_test.go
@@ -217,3 +217,35 @@
 		f.tasks.Wait()
 	})
 }
+
+// Pattern: all machines lose power while the store is silent, and it returns a moment
+// after them. Guards against nodes that refuse callers until a read from before its
+// return has timed out (sparschwein-search trouble-2: 1.5 s, 128 requests refused).
+func TestStartSeesTheStoresReturn(t *testing.T) {
+	const (
+		returns = 400 * time.Millisecond
+		// due is the time between two reads and one answer, with some for the rest.
+		due = 350 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newStore(seed)
+		store.write(configurationKey, false)
+		for i := range 4 {
+			store.setTrouble(fmt.Sprint("vm-", i), troubleHanging)
+		}
+		f := newFleet(ctx, store, 4, rand.New(rand.NewPCG(seed, 4)))
+		time.Sleep(returns)
+		for _, n := range f.nodes {
+			store.setTrouble(n.name, troubleNone)
+		}
+		time.Sleep(due)
+		for _, n := range f.nodes {
+			if !n.set.Loaded() {
+				t.Errorf("%s has no copy %s after the store's return", n.name, due)
+			}
+		}
+		cancel()
+		f.tasks.Wait()
+	})
+}
