Read the store first on the nodes that callers come to

Their copies, about 640 KB each after a large configuration, filled the store's link: each node had its copy after 0.46 to 0.65 s, also the six that serve nearly all callers, and 126 requests were refused.

Ruled out: the platform's read rate (no read was refused), and copies from other nodes, which would fill the links of those that serve.

Change: a node that starts reads the store as soon as a caller comes, otherwise after a random 0.15 to 0.8 s, and asks other nodes once it has a copy or the store has failed it. Callers are told to come back after 150 ms in place of 300.

Test: TestNodesWithCallersLoadFirst fails when all nodes read at once.

--- a/anvilfollower/config.go
+++ b/anvilfollower/config.go
@@ -21,6 +21,14 @@
 	watchPause = 100 * time.Millisecond
 	// readTimeout bounds a read of all items, with its pages.
 	readTimeout = 4 * time.Second
+	// startDelay and startSpread bound the time, drawn at random, after which a node
+	// that starts reads the store although no caller waits for it. The copies of a
+	// large fleet that starts at one moment fill the store's link for longer.
+	startDelay  = 150 * time.Millisecond
+	startSpread = 650 * time.Millisecond
+	// storeFirstTime is how long such a node leaves the other nodes alone, so that its
+	// whole copy does not go through the links of those that serve callers.
+	storeFirstTime = time.Second
 	// firstReadDelay is the time between two reads of a node that has no copy yet, if
 	// the store stays silent: what was asked before its return may never be answered.
 	// Reads before stay open. The store answers in milliseconds.
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -36,6 +36,9 @@
 	refused bool
 	// directUntil makes the node read the store itself.
 	directUntil time.Time
+	// wanted is closed when a caller waits for the copy.
+	wanted     chan struct{}
+	wantedOnce sync.Once
 	// endWatch ends the watch of the store that is under way; nil if there is none.
 	endWatch context.CancelFunc
 	random   *rand.Rand
@@ -47,6 +50,7 @@
 		config:    c,
 		mirror:    anvilmirror.New(),
 		changed:   make(chan struct{}),
+		wanted:    make(chan struct{}),
 		awaySince: time.Now(),
 		random:    c.Random,
 	}
@@ -163,8 +167,25 @@
 	return !f.loaded.IsZero() && now.Sub(f.loaded) >= settleTime
 }
 
+// Want says that a caller waits for the copy.
+func (f *Follower) Want() {
+	f.wantedOnce.Do(func() { close(f.wanted) })
+}
+
+// awaitTurn waits until a caller waits for the copy, or for a random time.
+func (f *Follower) awaitTurn(ctx context.Context) {
+	timer := time.NewTimer(startDelay + f.randomDuration(startSpread))
+	defer timer.Stop()
+	select {
+	case <-f.wanted:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // followStore reads the store while this node has to.
 func (f *Follower) followStore(ctx context.Context) {
+	f.awaitTurn(ctx)
 	retry := firstRetry
 	for ctx.Err() == nil {
 		now := time.Now()
--- a/anvilfollower/model_test.go
+++ b/anvilfollower/model_test.go
@@ -78,6 +78,10 @@
 	trouble   map[string]trouble
 	random    *rand.Rand
 	reads     int
+	// copyTime is how long the store's link takes for a copy, and linkFree when it is
+	// free again.
+	copyTime time.Duration
+	linkFree time.Time
 }
 
 func newStore(seed uint64) *store {
@@ -163,6 +167,12 @@
 			c.Items = append(c.Items, i)
 		}
 	}
+	now := time.Now()
+	if s.linkFree.Before(now) {
+		s.linkFree = now
+	}
+	s.linkFree = s.linkFree.Add(s.copyTime)
+	delay += s.linkFree.Sub(now)
 	s.mu.Unlock()
 	if err := sleep(ctx, delay); err != nil {
 		return anvilmirror.Changes{}, err
--- a/anvilfollower/peers.go
+++ b/anvilfollower/peers.go
@@ -12,6 +12,7 @@
 // followPeers asks other nodes for changes, whether this node reads the store or
 // not: a watch of the store may stay silent for seconds.
 func (f *Follower) followPeers(ctx context.Context) {
+	f.leaveToStore(ctx)
 	for ctx.Err() == nil {
 		f.leaveStore()
 		place := anvilmirror.PlaceOf(f.config.Members(), ReaderCount, anvilmirror.FanOut)
@@ -27,6 +28,20 @@
 	}
 }
 
+// leaveToStore waits until the store has given the first copy, or has failed to.
+func (f *Follower) leaveToStore(ctx context.Context) {
+	deadline := time.Now().Add(storeFirstTime)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		f.mu.Lock()
+		over := f.mirror.Loaded() || f.refused
+		f.mu.Unlock()
+		if over {
+			return
+		}
+		pause(ctx, firstRetry)
+	}
+}
+
 // readSources takes what the sources have over, in their order, until one has a
 // fresh copy. Only the first is waited for.
 func (f *Follower) readSources(ctx context.Context, place anvilmirror.Place) bool {
--- a/anvilfollower/schedule_test.go
+++ b/anvilfollower/schedule_test.go
@@ -235,6 +235,9 @@
 			store.setTrouble(fmt.Sprint("vm-", i), troubleHanging)
 		}
 		f := newFleet(ctx, store, 4, rand.New(rand.NewPCG(seed, 4)))
+		for _, n := range f.nodes {
+			n.set.Want()
+		}
 		time.Sleep(returns)
 		for _, n := range f.nodes {
 			store.setTrouble(n.name, troubleNone)
@@ -249,3 +252,42 @@
 		f.tasks.Wait()
 	})
 }
+
+// Pattern: all 117 nodes of a fleet are killed and start again at one moment; callers
+// come to six of them. Guards against nodes that refuse their callers while the copies
+// of the others fill the store's link (cpws-grind-large trouble-3: 0.46 to 0.65 s,
+// 126 requests refused).
+func TestNodesWithCallersLoadFirst(t *testing.T) {
+	const (
+		callersAt = 6
+		// due is a tenth of the time that an urgent caller has, 400 ms, for each of its
+		// two attempts, and the time that the store takes for six nodes.
+		due = 80 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newStore(seed)
+		// Two prefixes of 320 KB over 1,000 Mbit/s.
+		store.copyTime = 2500 * time.Microsecond
+		store.write(configurationKey, false)
+		f := newFleet(ctx, store, 117, rand.New(rand.NewPCG(seed, 117)))
+		time.Sleep(5 * time.Millisecond)
+		for _, n := range f.nodes[:callersAt] {
+			n.set.Want()
+		}
+		time.Sleep(due)
+		for _, n := range f.nodes[:callersAt] {
+			if !n.set.Loaded() {
+				t.Errorf("%s has callers and no copy after %s", n.name, due)
+			}
+		}
+		time.Sleep(applyLimit)
+		for _, n := range f.nodes {
+			if !n.set.Loaded() {
+				t.Errorf("%s has no copy after %s", n.name, applyLimit)
+			}
+		}
+		cancel()
+		f.tasks.Wait()
+	})
+}
--- a/anvilfollower/set.go
+++ b/anvilfollower/set.go
@@ -41,6 +41,12 @@
 	tasks.Wait()
 }
 
+// Want says that a caller waits for the copies.
+func (s *Set) Want() {
+	s.Configuration.Want()
+	s.Leafs.Want()
+}
+
 // Loaded reports whether both copies have been whole.
 func (s *Set) Loaded() bool {
 	return s.Configuration.Loaded() && s.Leafs.Loaded()
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -307,7 +307,11 @@
 func startReady(tb testing.TB, s *store, seeds ...netip.AddrPort) *running {
 	tb.Helper()
 	g := startGateway(tb, s, seeds...)
-	eventually(tb, "the gateway is ready", g.ready)
+	eventually(tb, "the gateway is ready", func() bool {
+		// A caller makes the node read the store at once.
+		_, _ = g.send(context.Background(), http.MethodGet, "/none/", "id-none")
+		return g.ready()
+	})
 	return g
 }
 
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -23,8 +23,9 @@
 	// abandonGrace is how long calls that are not needed any more may take to end by
 	// themselves, so that their connections are kept.
 	abandonGrace = 250 * time.Millisecond
-	// retryAfterStart is stated by a node that has no configuration yet.
-	retryAfterStart = 300 * time.Millisecond
+	// retryAfterStart is stated by a node that has no configuration yet. It reads the
+	// store at once when a caller comes.
+	retryAfterStart = 150 * time.Millisecond
 	// retryAfterLeaving sends callers of a leaving node to another one.
 	retryAfterLeaving = 10 * time.Millisecond
 	// longestBodyTime is how long the body of a request may take to arrive.
@@ -163,6 +164,7 @@
 	case g.closing.Load():
 		return newRefusal(http.StatusServiceUnavailable, "leaving", retryAfterLeaving)
 	case table == nil || !g.copies.Leafs.Loaded():
+		g.copies.Want()
 		return newRefusal(http.StatusServiceUnavailable, "no-configuration", retryAfterStart)
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, err.Error(), 0)
