Compress large items that nodes pass on to each other

Ruled out: a tree that follows the failure domains, which saves two thirds of it at best; parts of the document only, which needs a format of its own.

Change: values from 1 KB are compressed with zstd (github.com/klauspost/compress), once for all followers. A value may not grow beyond the greatest message.

--- a/anvilpeer/client.go
+++ b/anvilpeer/client.go
@@ -41,6 +41,8 @@
 	pool *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 	dial DialFunc
 	sent func(kind string, bytes int)
+
+	decompressor *decompressor
 }
 
 // NewClient returns a client without connections.
@@ -61,6 +63,8 @@
 		}),
 		dial: dial,
 		sent: sent,
+
+		decompressor: newDecompressor(),
 	}
 }
 
@@ -194,7 +198,7 @@
 }
 
 // Published asks for a node's copy of a prefix of the platform's store, as far as
-// it is missing here, and waits for a change. It returns Unreachable.
+// it is missing here, and waits for a change. It returns Unreachable or Malformed.
 func (c *Client) Published(ctx context.Context, address netip.AddrPort, q PublishedQuestion) (Published, error) {
 	request := encodePublishedQuestion(q)
 	c.count("published", request)
@@ -202,7 +206,7 @@
 	if err != nil {
 		return Published{}, Unreachable.Wrap(err, "reading the published items at %s", address)
 	}
-	p := decodePublished(reply)
+	p, err := decodePublished(reply, c.decompressor)
 	p.After = q.After
-	return p, nil
+	return p, err
 }
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -48,7 +48,7 @@
 	}
 }
 
-func encodePublished(c Published) *anvilproto.PublishedReply {
+func encodePublished(c Published, z *compressor) *anvilproto.PublishedReply {
 	reply := &anvilproto.PublishedReply{
 		Revision:  c.Revision,
 		Complete:  c.Complete,
@@ -57,17 +57,20 @@
 		Digest:    c.Digest,
 	}
 	for _, i := range c.Items {
+		value, compressed := z.compress(i)
 		reply.Items = append(reply.Items, &anvilproto.PublishedItem{
-			Key:      i.Key,
-			Value:    i.Value,
-			Revision: i.Revision,
-			Deleted:  i.Deleted,
+			Key:        i.Key,
+			Value:      value,
+			Revision:   i.Revision,
+			Deleted:    i.Deleted,
+			Compressed: compressed,
 		})
 	}
 	return reply
 }
 
-func decodePublished(reply *anvilproto.PublishedReply) Published {
+// decodePublished returns an error for a value that cannot be decompressed.
+func decodePublished(reply *anvilproto.PublishedReply, z *decompressor) (Published, error) {
 	c := Published{
 		Changes: anvilmirror.Changes{
 			Revision: reply.GetRevision(),
@@ -78,12 +81,19 @@
 		Age: time.Duration(reply.GetAgeMicros()) * time.Microsecond,
 	}
 	for _, i := range reply.GetItems() {
+		value := i.GetValue()
+		if i.GetCompressed() {
+			var err error
+			if value, err = z.decompress(value); err != nil {
+				return Published{}, Malformed.Wrap(err, "decompressing the item %s", i.GetKey())
+			}
+		}
 		c.Items = append(c.Items, anvilmirror.Item{
 			Key:      i.GetKey(),
-			Value:    i.GetValue(),
+			Value:    value,
 			Revision: i.GetRevision(),
 			Deleted:  i.GetDeleted(),
 		})
 	}
-	return c
+	return c, nil
 }
--- a/anvilpeer/server.go
+++ b/anvilpeer/server.go
@@ -82,6 +82,8 @@
 	anvilproto.DRPCPeerUnimplementedServer
 	handlers Handlers
 	server   *drpcserver.Server
+	// compressor is used for the copies that other nodes ask for.
+	compressor *compressor
 
 	// streams counts the relay streams, readers their reading goroutines.
 	streams   atomic.Int64
@@ -93,8 +95,9 @@
 // NewServer returns a server that is not yet listening.
 func NewServer(h Handlers) (*Server, error) {
 	s := &Server{
-		handlers: h,
-		draining: make(chan struct{}),
+		handlers:   h,
+		compressor: newCompressor(),
+		draining:   make(chan struct{}),
 	}
 	mux := drpcmux.New()
 	if err := anvilproto.DRPCRegisterPeer(mux, s); err != nil {
@@ -205,7 +208,7 @@
 	if s.handlers.Published == nil {
 		return nil, errNoHandler()
 	}
-	return encodePublished(s.handlers.Published(ctx, decodePublishedQuestion(q))), nil
+	return encodePublished(s.handlers.Published(ctx, decodePublishedQuestion(q)), s.compressor), nil
 }
 
 // errNoHandler refuses a call that this kind of node does not serve.
