--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -154,7 +154,7 @@
 		Complete: after == 0,
 	}
 	for key, i := range s.items {
-		if strings.HasPrefix(key, prefix) && i.Revision > after && !(i.Deleted && c.Complete) {
+		if strings.HasPrefix(key, prefix) && i.Revision > after && (!i.Deleted || !c.Complete) {
 			c.Items = append(c.Items, i)
 		}
 	}
