Take the kernel's sizes of socket buffers in tests of endless bytes

On this machine it may hold 36 MB (tcp_rmem has a maximum of 32 MB). The tests now read these sizes, and bound one reply by a setting of 1 MB in place of 8 MB; the bound on the heap is as it was.

--- a/anvilgateway/endless_test.go
+++ b/anvilgateway/endless_test.go
@@ -20,11 +20,11 @@
 	// replyMemory is the setting of the gateways in these tests: what all replies in
 	// flight may hold.
 	replyMemory = 8 << 20
+	// replyBytes is the setting that bounds one reply.
+	replyBytes = 1 << 20
 	// heapMargin is left for what else the process holds while a test runs, with the
 	// buffers of its own sockets.
 	heapMargin = 24 << 20
-	// socketBuffers is what the kernel may hold of a connection over loopback.
-	socketBuffers = 10 << 20
 )
 
 // endlessReplies are bytes that are no answer, as a leaf may send them until its
@@ -153,8 +153,14 @@
 				}
 			}
 			eventually(t, "the connections are closed", func() bool { return leaf.Closed() >= queries })
-			if sent := leaf.Sent(); sent > replyMemory+queries*socketBuffers {
-				t.Errorf("the leaf sent %d MB until its connections were closed, want %d at most", sent>>20, (replyMemory+queries*socketBuffers)>>20)
+			// Each reply is bounded by itself; its memory is free for the next one.
+			buffers, err := anvilstandin.SocketBuffers()
+			if err != nil {
+				t.Fatal(err)
+			}
+			most := queries * (replyBytes + buffers)
+			if sent := leaf.Sent(); sent > most {
+				t.Errorf("the leaf sent %d MB until its connections were closed, want %d at most", sent>>20, most>>20)
 			}
 			if growth := heap(); growth > replyMemory+heapMargin {
 				t.Errorf("the heap grew by %d MB, want %d at most", growth>>20, (replyMemory+heapMargin)>>20)
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -281,6 +281,7 @@
 			AddressLifetime: 100 * time.Millisecond,
 			Grace:           grace,
 			BodyMemory:      replyMemory,
+			MaxReplyBytes:   replyBytes,
 			Balance: anvilbalance.Config{
 				RetrySlack: 50,
 			},
--- a/anvilpeer/endless_test.go
+++ b/anvilpeer/endless_test.go
@@ -13,12 +13,12 @@
 // Pattern: whatever listens at a node's address sends bytes without end. Guards
 // against a client or a server that takes them for as long as they come.
 func TestEndlessBytesEndTheConnection(t *testing.T) {
-	const (
-		// messageBytes is the greatest message that nodes exchange.
-		messageBytes = 16 << 20
-		// socketBuffers is what the kernel may hold of a connection over loopback.
-		socketBuffers = 10 << 20
-	)
+	// messageBytes is the greatest message that nodes exchange.
+	const messageBytes = 16 << 20
+	buffers, err := anvilstandin.SocketBuffers()
+	if err != nil {
+		t.Fatal(err)
+	}
 	for name, repeat := range map[string]string{
 		"text":         strings.Repeat("x", 1<<10),
 		"zeros":        strings.Repeat("\x00", 1<<10),
@@ -35,7 +35,7 @@
 			if _, err := client.Published(t.Context(), server.Address(), anvilpeer.PublishedQuestion{}); err == nil {
 				t.Error("the answer was accepted")
 			}
-			if sent := server.Sent(); sent > messageBytes+socketBuffers {
+			if sent := server.Sent(); sent > messageBytes+buffers {
 				t.Errorf("%d MB were sent until the connection was closed", sent>>20)
 			}
 		})
@@ -60,11 +60,11 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = conn.Close() }()
-			sent := 0
-			for err == nil && sent <= messageBytes+socketBuffers {
+			sent := int64(0)
+			for err == nil && sent <= messageBytes+buffers {
 				var n int
 				n, err = conn.Write([]byte(repeat))
-				sent += n
+				sent += int64(n)
 			}
 			if err == nil {
 				t.Errorf("the connection takes more than %d MB", sent>>20)
--- a/anvilplatform/client_test.go
+++ b/anvilplatform/client_test.go
@@ -182,11 +182,11 @@
 // Pattern: a server in trouble sends bytes that are no answer without end. Guards
 // against a reader that takes them for as long as they come.
 func TestEndlessReplyIsRefused(t *testing.T) {
-	const (
-		limit = 1 << 20
-		// socketBuffers is what the kernel may hold of a connection over loopback.
-		socketBuffers = 10 << 20
-	)
+	const limit = 1 << 20
+	buffers, err := anvilstandin.SocketBuffers()
+	if err != nil {
+		t.Fatal(err)
+	}
 	for name, c := range map[string]struct{ first, repeat string }{
 		"header lines":      {"HTTP/1.1 200 OK\r\n", "Some-Header: with a value\r\n"},
 		"one header line":   {"HTTP/1.1 200 OK\r\nSome-Header: ", strings.Repeat("x", 1<<10)},
@@ -211,8 +211,8 @@
 			if err == nil {
 				t.Error("the reply was accepted")
 			}
-			if sent := server.Sent(); sent > limit+socketBuffers {
-				t.Errorf("%d MB were sent until the connection was closed, want %d at most", sent>>20, (limit+socketBuffers)>>20)
+			if sent := server.Sent(); sent > limit+buffers {
+				t.Errorf("%d MB were sent until the connection was closed, want %d at most", sent>>20, (limit+buffers)>>20)
 			}
 		})
 	}
--- a/anvilstandin/endless.go
+++ b/anvilstandin/endless.go
@@ -3,7 +3,12 @@
 import (
 	"net"
 	"net/netip"
+	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
+
+	"github.com/joomcode/errorx"
 )
 
 // Endless is a server in trouble: on each connection it sends bytes without end once
@@ -78,3 +83,22 @@
 		n, err = conn.Write(e.repeat)
 	}
 }
+
+// SocketBuffers returns the bytes that the kernel may hold of one connection over
+// loopback: the greatest sizes of its send and receive buffers.
+func SocketBuffers() (int64, error) {
+	sum := int64(0)
+	for _, name := range []string{"tcp_wmem", "tcp_rmem"} {
+		text, err := os.ReadFile("/proc/sys/net/ipv4/" + name)
+		if err != nil {
+			return 0, errorx.Decorate(err, "reading the size of socket buffers")
+		}
+		fields := strings.Fields(string(text))
+		greatest, err := strconv.ParseInt(fields[len(fields)-1], 10, 64)
+		if err != nil {
+			return 0, errorx.Decorate(err, "reading the size of socket buffers")
+		}
+		sum += greatest
+	}
+	return sum, nil
+}
