--- a/anvilfollower/model_test.go
+++ b/anvilfollower/model_test.go
@@ -23,9 +23,9 @@
 const seed = 20261204
 
 const (
-	configurationPrefix = "op/"
+	configurationPrefix = "configuration/"
 	leafPrefix          = "leafs/"
-	configurationKey    = configurationPrefix + "config"
+	configurationKey    = configurationPrefix + "now"
 	// storeDelay is how long the store takes for an answer, hopDelay a node.
 	storeDelay = 4 * time.Millisecond
 	hopDelay   = time.Millisecond
--- a/anvilpeer/published_test.go
+++ b/anvilpeer/published_test.go
@@ -45,7 +45,7 @@
 			Digest:   17,
 			Items: []anvilmirror.Item{
 				{
-					Key:      "op/config",
+					Key:      "configuration/now",
 					Value:    document.Bytes(),
 					Revision: 8,
 				},
