--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -318,8 +318,8 @@
 	f.endWatch = end
 }
 
-// leaveStore ends a watch that this node no longer needs.
-func (f *Follower) leaveStore() {
+// endUnneededWatch ends a watch that this node no longer needs.
+func (f *Follower) endUnneededWatch() {
 	if f.reads(time.Now()) {
 		return
 	}
--- a/anvilfollower/peers.go
+++ b/anvilfollower/peers.go
@@ -12,9 +12,9 @@
 // followPeers asks other nodes for changes, whether this node reads the store or
 // not: a watch of the store may stay silent for seconds.
 func (f *Follower) followPeers(ctx context.Context) {
-	f.leaveToStore(ctx)
+	f.awaitFirstCopy(ctx)
 	for ctx.Err() == nil {
-		f.leaveStore()
+		f.endUnneededWatch()
 		place := anvilmirror.PlaceOf(f.config.Members(), ReaderCount, anvilmirror.FanOut)
 		if f.readSources(ctx, place) {
 			f.found()
@@ -28,8 +28,8 @@
 	}
 }
 
-// leaveToStore waits until the store has given the first copy, or has failed to.
-func (f *Follower) leaveToStore(ctx context.Context) {
+// awaitFirstCopy waits until the store has given the first copy, or has failed to.
+func (f *Follower) awaitFirstCopy(ctx context.Context) {
 	deadline := time.Now().Add(storeFirstTime)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		f.mu.Lock()
