Leave leafs alone that say that they leave or want no calls

Cause: a leaf's word about itself was read nowhere. With two leafs over sockets a leaf that said that it leaves went on getting requests, and one that turned requests away with a time got them all the while. Change: the replies of calls and health checks are read for both. A leaf that leaves gets no new calls, whatever its entry says, and nodes pass this on with the copies of the entries, up and down their tree; a process started later under the name is another leaf. A leaf that turns a call away with 503 and a time gets no call, hedge, retry or health check of this node until it is over, five minutes at most; if all leafs of a service do, callers are refused at once with the time left. A call whose connection took long to open is withdrawn if the leaf has spoken meanwhile. 429 with a time turns away the one call: it is not read as a word about the node. TestDepartureReachesAllNodes plays 4 and 117 nodes in virtual time with the store away.

--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -80,7 +80,9 @@
 	services map[anvilmodel.ServiceName]*serviceState
 	routes   map[anvilroute.Name]*latency
 	out      map[anvilmodel.FailureDomain]bool
-	pauses   pauseModel
+	// departures are the leafs that have said that they leave.
+	departures map[anvilmodel.LeafName]departure
+	pauses     pauseModel
 }
 
 type serviceState struct {
@@ -104,12 +106,13 @@
 		c.HedgeQuantile = DefaultHedgeQuantile
 	}
 	return &Balancer{
-		config:   c,
-		nodes:    1,
-		leafs:    make(map[anvilmodel.LeafName]*leafState),
-		services: make(map[anvilmodel.ServiceName]*serviceState),
-		routes:   make(map[anvilroute.Name]*latency),
-		out:      make(map[anvilmodel.FailureDomain]bool),
+		config:     c,
+		nodes:      1,
+		leafs:      make(map[anvilmodel.LeafName]*leafState),
+		services:   make(map[anvilmodel.ServiceName]*serviceState),
+		routes:     make(map[anvilroute.Name]*latency),
+		out:        make(map[anvilmodel.FailureDomain]bool),
+		departures: make(map[anvilmodel.LeafName]departure),
 	}
 }
 
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -67,6 +67,10 @@
 	checkAt        time.Time
 	backoff        time.Duration
 	stalls         stalls
+	// leaving says that the leaf has said that it leaves.
+	leaving bool
+	// deferredUntil is the end of the time in which the leaf wants no calls.
+	deferredUntil time.Time
 	// removedAt is set when the leaf's entry is gone and the leaf may be used a
 	// little longer.
 	removedAt time.Time
@@ -89,6 +93,7 @@
 		s.leafs = append(s.leafs, held)
 	}
 	held.leaf = l
+	held.leaving = b.departed(l)
 	held.removedAt = time.Time{}
 	held.coldUntil = now.Add(l.ColdFor)
 }
@@ -133,14 +138,14 @@
 }
 
 func (l *leafState) usable(b *Balancer, now time.Time) bool {
-	return !l.leaf.Draining && !b.out[l.leaf.FailureDomain] && (l.removedAt.IsZero() || now.Before(l.removedAt))
+	return !l.leaf.Draining && !l.leaving && !b.out[l.leaf.FailureDomain] && (l.removedAt.IsZero() || now.Before(l.removedAt))
 }
 
 // Available reports whether the service has a leaf that can be called, now or
 // within a moment.
 func (b *Balancer) Available(name anvilmodel.ServiceName, now time.Time) bool {
 	return slices.ContainsFunc(b.service(name).leafs, func(l *leafState) bool {
-		return !l.ejected && l.usable(b, now)
+		return !l.ejected && l.usable(b, now) && !l.deferred(now)
 	})
 }
 
@@ -198,7 +203,7 @@
 	var best *leafState
 	var bestCost float64
 	for _, l := range s.leafs {
-		if l.ejected || !l.usable(b, now) || slices.Contains(c.Tried, l.leaf.ID) {
+		if l.ejected || !l.usable(b, now) || l.deferred(now) || slices.Contains(c.Tried, l.leaf.ID) {
 			continue
 		}
 		if l.inFlight >= connections || !b.coldRoom(s, l, now) {
@@ -290,6 +295,9 @@
 	OutcomeTimeout
 	// OutcomeAbandoned means that this node gave the call up early.
 	OutcomeAbandoned
+	// OutcomeWithdrawn means that the call was not sent, because the leaf has said
+	// meanwhile that it wants none.
+	OutcomeWithdrawn
 )
 
 var outcomeNames = map[Outcome]string{
@@ -301,6 +309,7 @@
 	OutcomeLost:        "lost",
 	OutcomeTimeout:     "timeout",
 	OutcomeAbandoned:   "abandoned",
+	OutcomeWithdrawn:   "withdrawn",
 }
 
 // String returns the name used in logs and metrics.
@@ -310,7 +319,7 @@
 
 // NotRun reports whether the call has certainly not run.
 func (o Outcome) NotRun() bool {
-	return o == OutcomeShed || o == OutcomeMisdirected || o == OutcomeUnsent
+	return o == OutcomeShed || o == OutcomeMisdirected || o == OutcomeUnsent || o == OutcomeWithdrawn
 }
 
 // Result is what a call has shown.
@@ -327,6 +336,21 @@
 	Load      int
 	// ColdFor is how long the leaf says that it stays cold; 0 if it says nothing.
 	ColdFor time.Duration
+	// Leaving says that the leaf says that it leaves.
+	Leaving bool
+	// Deferral is how long the leaf says that it wants no calls of this node; 0 if it
+	// says nothing.
+	Deferral time.Duration
+}
+
+// Effect is what a result has changed about its leaf.
+type Effect struct {
+	// Ejected says that the leaf gets no calls until a health check has succeeded.
+	Ejected bool
+	// Departed says that the leaf has said for the first time that it leaves.
+	Departed bool
+	// Deferral is how long the leaf gets no calls because it said so; 0 if it did not.
+	Deferral time.Duration
 }
 
 // Overdue notes that a call has taken longer than the hedge delay. The leaf is
@@ -337,11 +361,11 @@
 	}
 }
 
-// Finish ends a picked call. It reports whether the leaf was ejected for it.
-func (b *Balancer) Finish(r Result, now time.Time) bool {
+// Finish ends a picked call and returns what it has changed.
+func (b *Balancer) Finish(r Result, now time.Time) Effect {
 	held := b.leafs[r.Leaf.ID]
 	if held == nil || !held.leaf.Started.Equal(r.Leaf.Started) || held.leaf.Address != r.Leaf.Address {
-		return false
+		return Effect{}
 	}
 	before := held.ejected
 	held.inFlight = max(held.inFlight-1, 0)
@@ -355,6 +379,15 @@
 	if r.ColdFor > 0 {
 		held.coldUntil = now.Add(r.ColdFor)
 	}
+	effect := Effect{
+		Deferral: b.Defer(r.Leaf, r.Deferral, now),
+	}
+	if r.Leaving {
+		effect.Departed = b.Depart(anvilmodel.Departure{
+			Leaf:    r.Leaf.ID,
+			Started: r.Leaf.Started,
+		}, now)
+	}
 	held.relax(now)
 	switch r.Outcome {
 	case OutcomeGood:
@@ -387,8 +420,10 @@
 			held.unanswered++
 			b.judge(held, now)
 		}
+	case OutcomeWithdrawn:
 	}
-	return held.ejected && !before
+	effect.Ejected = held.ejected && !before
+	return effect
 }
 
 // noteStall tells the pause model of a call that took long at a steady leaf.
@@ -440,7 +475,7 @@
 			b.drop(l)
 			continue
 		}
-		if l.ejected && l.usable(b, now) && !now.Before(l.checkAt) {
+		if l.ejected && l.usable(b, now) && !l.deferred(now) && !now.Before(l.checkAt) {
 			l.checkAt = now.Add(longestBackoff)
 			due = append(due, l.leaf)
 		}
--- a/anvilfollower/config.go
+++ b/anvilfollower/config.go
@@ -87,7 +87,7 @@
 	Mirror *anvilmirror.Mirror
 }
 
-// Config sets up a Follower. All fields must be set.
+// Config sets up a Follower. All fields without a remark must be set.
 type Config struct {
 	Prefix string
 	// ReadAll returns complete changes.
@@ -101,6 +101,11 @@
 	Members func() []anvilmodel.Member
 	// Apply takes changes over, one batch at a time.
 	Apply func(Batch)
+	// Departures returns the leafs that this node knows to leave, for the other nodes,
+	// and NoteDepartures takes those over that another node knows of; it reports
+	// whether any is new. Both are nil for a prefix without leafs.
+	Departures     func() []anvilmodel.Departure
+	NoteDepartures func([]anvilmodel.Departure) bool
 	// CountRead counts a read of the store or of another node.
 	CountRead func(kind string, ok bool)
 	// Random decides which nodes read a store in trouble.
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 
 	"anvilbridge/anvilmirror"
+	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
 )
 
@@ -93,6 +94,7 @@
 
 // Since answers another node; it waits for a change if there is none.
 func (f *Follower) Since(ctx context.Context, q anvilpeer.PublishedQuestion) anvilpeer.Published {
+	f.noteDepartures(q.Departures)
 	timer := time.NewTimer(min(q.Wait, longestRelayWait))
 	defer timer.Stop()
 	for waiting := q.Wait > 0; ; {
@@ -115,6 +117,7 @@
 		changed := f.changed
 		f.mu.Unlock()
 		if news || ctx.Err() != nil {
+			p.Departures = f.departures()
 			return p
 		}
 		select {
@@ -128,6 +131,35 @@
 	}
 }
 
+// Announce answers the questions of other nodes that wait for a change, because this
+// node has learned of a leaf that leaves.
+func (f *Follower) Announce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wake()
+}
+
+// wake answers the questions that wait for a change. The lock mu is held.
+func (f *Follower) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Follower) departures() []anvilmodel.Departure {
+	if f.config.Departures == nil {
+		return nil
+	}
+	return f.config.Departures()
+}
+
+// noteDepartures takes over which leafs another node knows to leave, and passes on
+// what is new.
+func (f *Follower) noteDepartures(told []anvilmodel.Departure) {
+	if f.config.NoteDepartures != nil && len(told) > 0 && f.config.NoteDepartures(told) {
+		f.Announce()
+	}
+}
+
 // take applies changes that were confirmed by the store the age ago, and reports
 // whether there were any. A negative age confirms nothing.
 func (f *Follower) take(c anvilmirror.Changes, age time.Duration) bool {
@@ -149,8 +181,7 @@
 		Lapsed: !f.awaySince.IsZero() || f.lapse(now) > 0,
 		Mirror: f.mirror,
 	})
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.wake()
 	return true
 }
 
--- a/anvilfollower/model_test.go
+++ b/anvilfollower/model_test.go
@@ -270,6 +270,8 @@
 	contents  map[string]string
 	// abrupt are the removals that were not said to be a lapse.
 	abrupt int
+	// departed are the leafs that the node knows to leave.
+	departed map[anvilmodel.LeafName]bool
 }
 
 func newFleet(ctx context.Context, s *store, size int, random *rand.Rand) *fleet {
@@ -302,9 +304,10 @@
 		cancel:   cancel,
 		versions: make(map[string]uint64),
 		contents: make(map[string]string),
+		departed: make(map[anvilmodel.LeafName]bool),
 	}
 	follower := func(prefix string) *anvilfollower.Follower {
-		return anvilfollower.New(anvilfollower.Config{
+		config := anvilfollower.Config{
 			Prefix: prefix,
 			ReadAll: func(ctx context.Context, prefix string) (anvilmirror.Changes, error) {
 				ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -322,7 +325,12 @@
 			CountRead: func(string, bool) {},
 			Random:    rand.New(rand.NewPCG(f.random.Uint64(), 0)),
 			Log:       zerolog.Nop(),
-		})
+		}
+		if prefix == leafPrefix {
+			config.Departures = n.departures
+			config.NoteDepartures = n.noteDepartures
+		}
+		return anvilfollower.New(config)
 	}
 	n.set = &anvilfollower.Set{
 		Configuration: follower(configurationPrefix),
@@ -368,6 +376,28 @@
 
 var applying sync.Mutex
 
+func (n *node) departures() []anvilmodel.Departure {
+	applying.Lock()
+	defer applying.Unlock()
+	var told []anvilmodel.Departure
+	for id := range n.departed {
+		told = append(told, anvilmodel.Departure{
+			Leaf: id,
+		})
+	}
+	return told
+}
+
+func (n *node) noteDepartures(told []anvilmodel.Departure) bool {
+	applying.Lock()
+	defer applying.Unlock()
+	before := len(n.departed)
+	for _, d := range told {
+		n.departed[d.Leaf] = true
+	}
+	return len(n.departed) > before
+}
+
 // published asks a node over the network.
 func (f *fleet) published(ctx context.Context, address netip.AddrPort, q anvilpeer.PublishedQuestion) (anvilpeer.Published, error) {
 	if err := sleep(ctx, hopDelay); err != nil {
--- a/anvilfollower/peers.go
+++ b/anvilfollower/peers.go
@@ -72,6 +72,7 @@
 	}
 	waiting := !f.mirror.Loaded() && !f.refused
 	f.mu.Unlock()
+	q.Departures = f.departures()
 	limited, cancel := context.WithTimeout(ctx, wait+relayMargin)
 	defer cancel()
 	p, err := f.config.Published(limited, m.PeerAddress, q)
@@ -81,6 +82,7 @@
 			Str("member", string(m.Name)).Err(err).Send()
 		return 0, err
 	}
+	f.noteDepartures(p.Departures)
 	if waiting && (p.Age < 0 || p.Age >= stale) {
 		// The store is about to answer; an old copy may name leafs that have left.
 		return p.Age, nil
--- a/anvilfollower/schedule_test.go
+++ b/anvilfollower/schedule_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"anvilbridge/anvilmodel"
 )
 
 const (
@@ -328,3 +330,51 @@
 		f.tasks.Wait()
 	})
 }
+
+// Pattern: a leaf says to one node that it leaves; the store is away, so that its entry
+// does not. Guards against other nodes that send it new requests, also one that was
+// restarted meanwhile.
+func TestDepartureReachesAllNodes(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		// drain is the time after which a leaf that leaves gets no new requests, as the
+		// users state it for fleets of the size.
+		drain time.Duration
+	}{{4, 3 * time.Second}, {117, 6 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			random := rand.New(rand.NewPCG(seed, uint64(c.nodes)))
+			store := newStore(seed)
+			store.write(configurationKey, false)
+			f := newFleet(ctx, store, c.nodes, random)
+			time.Sleep(2 * applyLimit)
+			for _, n := range f.nodes {
+				store.setTrouble(n.name, troubleHanging)
+			}
+			time.Sleep(time.Second)
+			first := f.nodes[random.IntN(c.nodes)]
+			first.noteDepartures([]anvilmodel.Departure{{
+				Leaf: "leaf-1",
+			}})
+			first.set.Leafs.Announce()
+			time.Sleep(c.drain)
+			f.unaware(t, c.drain)
+			restarted := random.IntN(c.nodes)
+			f.restart(restarted)
+			time.Sleep(c.drain)
+			f.unaware(t, c.drain)
+			cancel()
+			f.tasks.Wait()
+		})
+	}
+}
+
+// unaware reports nodes that do not know the departure.
+func (f *fleet) unaware(t *testing.T, after time.Duration) {
+	t.Helper()
+	for _, n := range f.nodes {
+		if len(n.departures()) == 0 {
+			t.Errorf("seed %d, %d nodes: %s does not know after %s that the leaf leaves", seed, len(f.nodes), n.name, after)
+		}
+	}
+}
--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -131,6 +131,12 @@
 					err:     err,
 				}
 			}
+			if g.declines(leaf) {
+				_ = conn.Close()
+				return &reply{
+					outcome: anvilbalance.OutcomeWithdrawn,
+				}
+			}
 		}
 		r, sent := g.exchange(ctx, p, conn, out, leaf)
 		if opened || sent || ctx.Err() != nil {
--- a/anvilgateway/config.go
+++ b/anvilgateway/config.go
@@ -40,6 +40,10 @@
 	Load      int
 	// ColdFor is how long the leaf says that it stays cold.
 	ColdFor time.Duration
+	// Leaving says that the leaf takes no new calls because it is about to end.
+	Leaving bool
+	// RetryAfter is when the leaf wants to be called again; 0 if it does not say.
+	RetryAfter time.Duration
 	// Unreadable is the name of a header that counts as absent because it could not
 	// be read; empty if there is none.
 	Unreadable string
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -44,6 +44,7 @@
 	headerMissing   = "Test-Missing"
 	headerParts     = "Test-Parts"
 	headerRetry     = "Test-Retry-After"
+	headerLeaving   = "Test-Leaving"
 )
 
 func protocol() anvilgateway.Protocol {
@@ -64,11 +65,14 @@
 			return append(lines, headerTimeout+": "+timeout.String()+"\r\n"+headerLeaf+": "+string(leaf)+"\r\n"...)
 		},
 		DecodeReply: func(status int, h http.Header) anvilgateway.LeafReply {
+			retry, _ := time.ParseDuration(h.Get(headerRetry))
 			return anvilgateway.LeafReply{
 				ID:          h.Get(headerID),
 				Signature:   h.Get(headerSignature),
 				NotRun:      h.Get(headerNotRun) != "",
 				Misdirected: status == http.StatusMisdirectedRequest,
+				Leaving:     h.Get(headerLeaving) != "",
+				RetryAfter:  retry,
 			}
 		},
 		EncodeMerged: func(h http.Header, signatures []string, missing int) {
--- a/anvilgateway/follow.go
+++ b/anvilgateway/follow.go
@@ -18,9 +18,9 @@
 	streamLeafs         = 5
 )
 
-// newFollower returns a follower of a prefix of the store.
-func (g *Gateway) newFollower(prefix string, stream uint64, apply func(anvilfollower.Batch)) *anvilfollower.Follower {
-	return anvilfollower.New(anvilfollower.Config{
+// followerConfig sets up a follower of a prefix of the store.
+func (g *Gateway) followerConfig(prefix string, stream uint64, apply func(anvilfollower.Batch)) anvilfollower.Config {
+	return anvilfollower.Config{
 		Prefix:  prefix,
 		ReadAll: g.config.Store.ReadAll,
 		Watch:   g.config.Store.Watch,
@@ -35,7 +35,7 @@
 		},
 		Random: rand.New(rand.NewPCG(g.config.Seed, stream)),
 		Log:    g.config.Log,
-	})
+	}
 }
 
 func (g *Gateway) memberList() []anvilmodel.Member {
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -277,6 +277,11 @@
 			defer g.balancing.Unlock()
 			return g.balancer.Available(name, now)
 		},
+		Deferral: func(name anvilmodel.ServiceName, now time.Time) time.Duration {
+			g.balancing.Lock()
+			defer g.balancing.Unlock()
+			return g.balancer.Deferral(name, now)
+		},
 		Pick: func(c anvilbalance.Choice, now time.Time) (anvilbalance.Leaf, anvilbalance.Verdict) {
 			g.balancing.Lock()
 			defer g.balancing.Unlock()
@@ -342,7 +347,7 @@
 		case <-timer.C:
 			actions = s.request.Tick(time.Now(), actions)
 		case <-s.gateway.ending:
-			actions = s.request.End(actions)
+			actions = s.request.End(time.Now(), actions)
 		case <-caller.Done():
 			return nil
 		}
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -121,9 +121,12 @@
 	c.Balance.Random = rand.New(rand.NewPCG(c.Seed, 2))
 	g.balancer = anvilbalance.New(c.Balance)
 	g.able.Store(true)
+	leafs := g.followerConfig(c.Store.LeafPrefix, streamLeafs, g.applyLeafs)
+	leafs.Departures = g.departures
+	leafs.NoteDepartures = g.noteDepartures
 	g.copies = &anvilfollower.Set{
-		Configuration: g.newFollower(c.Store.ConfigurationPrefix, streamConfiguration, g.applyConfiguration),
-		Leafs:         g.newFollower(c.Store.LeafPrefix, streamLeafs, g.applyLeafs),
+		Configuration: anvilfollower.New(g.followerConfig(c.Store.ConfigurationPrefix, streamConfiguration, g.applyConfiguration)),
+		Leafs:         anvilfollower.New(leafs),
 	}
 	g.startMembers()
 	return g
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -53,12 +53,15 @@
 		LoadKnown: r.leaf.LoadKnown,
 		Load:      r.leaf.Load,
 		ColdFor:   r.leaf.ColdFor,
+		Leaving:   r.leaf.Leaving && r.outcome != anvilbalance.OutcomeMisdirected,
+		Deferral:  deferral(r.leaf, r.status),
 	}, c)
 	g.config.Metrics.Add(anvilmetric.LeafCalls, 1, string(c.leaf.Service), c.kind.String(), r.outcome.String())
 	if r.outcome != anvilbalance.OutcomeGood && r.outcome != anvilbalance.OutcomeAbandoned {
 		g.config.Log.Info().Str("event", "call").Str("request", s.id).Str("leaf", string(c.leaf.ID)).
 			Str("service", string(c.leaf.Service)).Str("kind", c.kind.String()).
-			Str("outcome", r.outcome.String()).Int("status", r.status).Dur("elapsed-ms", elapsed).Err(r.err).Send()
+			Str("outcome", r.outcome.String()).Int("status", r.status).Dur("elapsed-ms", elapsed).
+			Dur("retry-after-ms", r.leaf.RetryAfter).Err(r.err).Send()
 	}
 	s.held.keep(r.held)
 	s.replies <- callEnd{
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -120,7 +120,13 @@
 	g.balancing.Lock()
 	path := g.balancer.Settings(l.Service).HealthPath
 	g.balancing.Unlock()
-	healthy := path != "" && g.healthy(l, path)
+	healthy := false
+	if path != "" {
+		var said LeafReply
+		var status int
+		healthy, said, status = g.askHealth(l, path)
+		g.noteHealth(l, said, status)
+	}
 	g.balancing.Lock()
 	g.balancer.Checked(l, healthy, time.Now())
 	g.balancing.Unlock()
@@ -138,12 +144,14 @@
 	return "failed"
 }
 
-func (g *Gateway) healthy(l anvilbalance.Leaf, path string) bool {
+// askHealth sends a health check. It returns also what the leaf says in its reply, if
+// it is the one that was asked.
+func (g *Gateway) askHealth(l anvilbalance.Leaf, path string) (healthy bool, said LeafReply, status int) {
 	ctx, cancel := context.WithTimeout(g.background, checkTimeout)
 	defer cancel()
 	conn, err := g.pool(l).dial(ctx, time.Now().Add(checkTimeout))
 	if err != nil {
-		return false
+		return false, LeafReply{}, 0
 	}
 	defer func() { _ = conn.Close() }()
 	// The check must not hold the end of the process up.
@@ -151,30 +159,19 @@
 	defer stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.Address.String()+path, http.NoBody)
 	if err != nil {
-		return false
+		return false, LeafReply{}, 0
 	}
 	if err := request.Write(conn); err != nil {
-		return false
+		return false, LeafReply{}, 0
 	}
 	resp, err := readResponse(conn, request)
 	if err != nil {
-		return false
+		return false, LeafReply{}, 0
 	}
 	defer func() { _ = resp.Body.Close() }()
-	// The check reads no hint of the reply, so unreadable ones do not matter.
-	said := g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
-	return resp.StatusCode == http.StatusOK && (said.Instance == "" || said.Instance == l.ID)
-}
-
-// finishCall tells the balancer how a call ended.
-func (g *Gateway) finishCall(r anvilbalance.Result, c *leafCall) {
-	g.balancing.Lock()
-	r.Overdue = c.state.Swap(callEnded) == callOverdue
-	ejected := g.balancer.Finish(r, time.Now())
-	g.balancing.Unlock()
-	if ejected {
-		g.config.Log.Warn().Str("event", "leaf-ejected").Str("leaf", string(r.Leaf.ID)).
-			Str("service", string(r.Leaf.Service)).Str("last-outcome", r.Outcome.String()).
-			Dur("elapsed-ms", r.Elapsed).Send()
+	said = g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
+	if said.Instance != "" && said.Instance != l.ID {
+		return false, LeafReply{}, 0
 	}
+	return resp.StatusCode == http.StatusOK, said, resp.StatusCode
 }
--- /dev/null
+++ b/anvilgateway/notice_test.go
@@ -0,0 +1,220 @@
+package anvilgateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Pattern: a leaf says in its answers that it leaves, its entry still says that it is
+// ready, and the store is away. Guards against new requests to it, from the node that
+// has heard it and from the others, and against a request that it has and that is not
+// waited for.
+func TestLeavingLeafIsLeftAlone(t *testing.T) {
+	s := newStore()
+	var leaving atomic.Bool
+	var asked atomic.Int64
+	held := make(chan struct{})
+	s.register(startLeaf(t, "a1", "a", func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		if leaving.Load() {
+			w.Header().Set(headerLeaving, "1")
+		}
+		if r.URL.Path == "/get/held" {
+			<-held
+		}
+		goodLeaf("a1", "one")(w, r)
+	}))
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	nodes := []*running{startReady(t, s)}
+	nodes = append(nodes, startReady(t, s, nodes[0].addresses.Peer))
+	s.register(startLeaf(t, "a2", "a", goodLeaf("a2", "two")))
+	eventually(t, "both nodes use both leafs", func() bool {
+		for _, g := range nodes {
+			if bodies := bodiesOf(t, g, 10); len(bodies) < 2 {
+				return false
+			}
+		}
+		return true
+	})
+	s.down.Store(true)
+	leaving.Store(true)
+	var waiting sync.WaitGroup
+	waiting.Go(func() {
+		for i := 0; ; i++ {
+			before := asked.Load()
+			got, err := nodes[0].send(t.Context(), http.MethodGet, "/get/held", fmt.Sprint("held-", i))
+			if err != nil || got.status != http.StatusOK {
+				t.Errorf("held request: status %d, %v", got.status, err)
+			}
+			if got.body == "one" || asked.Load() > before {
+				return
+			}
+		}
+	})
+	eventually(t, "the first node has heard the leaf", func() bool { return len(bodiesOf(t, nodes[0], 10)) == 1 })
+	close(held)
+	waiting.Wait()
+	eventually(t, "the other node knows it as well", func() bool { return len(bodiesOf(t, nodes[1], 10)) == 1 })
+	before := asked.Load()
+	for _, g := range nodes {
+		if diff := cmp.Diff(map[string]int{"two": 200}, bodiesOf(t, g, 200)); diff != "" {
+			t.Errorf("answers by leaf (-want +got):\n%s", diff)
+		}
+	}
+	if got := asked.Load() - before; got != 0 {
+		t.Errorf("%d requests reached the leaf that leaves", got)
+	}
+}
+
+// bodiesOf sends requests one after the other and counts the answers.
+func bodiesOf(t *testing.T, g *running, requests int) map[string]int {
+	t.Helper()
+	bodies := make(map[string]int)
+	for i := range requests {
+		got, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-"+strconv.Itoa(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		bodies[got.body]++
+	}
+	return bodies
+}
+
+// turnedAway is a leaf that turns requests away for a while, and sees what comes.
+type turnedAway struct {
+	// wanted is how long it wants no requests after each that it turns away.
+	wanted time.Duration
+
+	mu sync.Mutex
+	// first is when it turned the first request away.
+	first  time.Time
+	within int
+	open   bool
+}
+
+func (l *turnedAway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The time after the answer in which requests may still be under way.
+	const underWay = 500 * time.Millisecond
+	l.mu.Lock()
+	now := time.Now()
+	if l.first.IsZero() {
+		l.first = now
+	}
+	since := now.Sub(l.first)
+	if since > underWay && since < l.wanted {
+		l.within++
+	}
+	l.open = since >= l.wanted
+	open := l.open
+	l.mu.Unlock()
+	if open {
+		goodLeaf(r.Header.Get(headerLeaf), "done")(w, r)
+		return
+	}
+	w.Header().Set(headerID, r.Header.Get(headerID))
+	w.Header().Set(headerNotRun, "1")
+	w.Header().Set(headerRetry, (l.wanted - since).String())
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Pattern: both leafs of a service turn requests away with the time for which they want
+// none. Guards against requests and health checks that reach them all the same, against
+// callers who are not told the time, and against leafs that are not used afterwards.
+func TestTurnedAwayNodeComesBackInTime(t *testing.T) {
+	const wanted = 2 * time.Second
+	s := newStore()
+	leafs := []*turnedAway{{wanted: wanted}, {wanted: wanted}}
+	for i, l := range leafs {
+		s.register(startLeaf(t, fmt.Sprint("a", i), "a", l.ServeHTTP))
+	}
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	g := startReady(t, s)
+	begun := time.Now()
+	for number := 0; ; number++ {
+		got, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-"+strconv.Itoa(number))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.status == http.StatusOK {
+			break
+		}
+		if time.Since(begun) > patience {
+			t.Fatalf("no answer after %s", patience)
+		}
+		left, err := time.ParseDuration(got.header.Get(headerRetry))
+		if err != nil || got.status != http.StatusServiceUnavailable || left <= 0 || left > wanted {
+			t.Fatalf("refusal %d has status %d and asks the caller back after %s, %v", number, got.status, left, err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	for i, l := range leafs {
+		l.mu.Lock()
+		if l.within > 2 {
+			t.Errorf("%d requests reached leaf %d in the time for which it wanted none, want 2 at most", l.within, i)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// Pattern: one of two leafs turns a request away with the time for which it wants none.
+// Guards against requests that reach it all the same while the other one serves.
+func TestTurnedAwayNodeUsesTheOtherLeaf(t *testing.T) {
+	s := newStore()
+	l := &turnedAway{wanted: 2 * time.Second}
+	s.register(startLeaf(t, "a0", "a", l.ServeHTTP))
+	s.register(startLeaf(t, "a1", "a", goodLeaf("a1", "other")))
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	g := startReady(t, s)
+	begun := time.Now()
+	over := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return !l.first.IsZero() && time.Since(l.first) > l.wanted
+	}
+	for number := 0; !over(); number++ {
+		got, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-"+strconv.Itoa(number))
+		if err != nil || got.status != http.StatusOK {
+			t.Fatalf("request %d: status %d, %v", number, got.status, err)
+		}
+		if time.Since(begun) > patience {
+			t.Fatalf("no request was turned away in %s", patience)
+		}
+	}
+	if l.within > 2 {
+		t.Errorf("%d requests reached the leaf in the time for which it wanted none, want 2 at most", l.within)
+	}
+}
+
+// Guards against the word of the leaf that has the address now, which is taken for that
+// of the leaf that had it before.
+func TestMisdirectedReplySpeaksForAnotherLeaf(t *testing.T) {
+	s := newStore()
+	var misdirected atomic.Bool
+	misdirected.Store(true)
+	l := startLeaf(t, "a1", "a", func(w http.ResponseWriter, r *http.Request) {
+		if misdirected.Swap(false) {
+			w.Header().Set(headerID, r.Header.Get(headerID))
+			w.Header().Set(headerLeaving, "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		if r.URL.Path == "/health" {
+			return
+		}
+		goodLeaf("a1", "done")(w, r)
+	})
+	s.register(l)
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	g := startReady(t, s)
+	eventually(t, "the leaf is used again", func() bool {
+		got, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-1")
+		return err == nil && got.status == http.StatusOK
+	})
+}
--- a/anvilgather/action.go
+++ b/anvilgather/action.go
@@ -78,6 +78,8 @@
 	CauseTarget
 	// CauseTimeout means that the time of the request was over.
 	CauseTimeout
+	// CauseDeferred means that the leafs of a service want no calls for a while.
+	CauseDeferred
 	// CauseLeaving means that the process ends.
 	CauseLeaving
 )
@@ -90,6 +92,7 @@
 	CauseLost:       "leaf-lost",
 	CauseTarget:     "target-reached",
 	CauseTimeout:    "timeout",
+	CauseDeferred:   "leafs-deferred",
 	CauseLeaving:    "leaving",
 }
 
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -1,6 +1,7 @@
 package anvilgather
 
 import (
+	"slices"
 	"time"
 
 	"anvilbridge/anvilbalance"
@@ -44,6 +45,9 @@
 	HedgeDelay time.Duration
 	// Available reports whether a service has leafs that can be called.
 	Available func(name anvilmodel.ServiceName, now time.Time) bool
+	// Deferral returns how long all leafs of a service want no calls; 0 if one may be
+	// called earlier.
+	Deferral func(name anvilmodel.ServiceName, now time.Time) time.Duration
 	// Pick chooses the leaf of a call.
 	Pick func(c anvilbalance.Choice, now time.Time) (anvilbalance.Leaf, anvilbalance.Verdict)
 }
@@ -109,11 +113,11 @@
 			reachable++
 			continue
 		}
-		r.fail(&r.parts[i], CauseNoLeaf)
+		r.fail(&r.parts[i], r.noLeaf(name, now))
 	}
 	if reachable < r.need {
 		r.verdict = anvilbalance.VerdictNone
-		return r.finish(FinishRefused, CauseNoLeaf, actions)
+		return r.finish(FinishRefused, r.missingCause(), now, actions)
 	}
 	for i := range r.parts {
 		if !r.parts[i].failed {
@@ -185,7 +189,7 @@
 		if p.open == 0 {
 			r.verdict = verdict
 			if p.cause == CauseNone {
-				p.cause = CauseNoLeaf
+				p.cause = r.noLeaf(r.config.Services[index], now)
 			}
 			r.fail(p, p.cause)
 		}
@@ -244,14 +248,14 @@
 }
 
 // End ends the request with what is in, because the process ends.
-func (r *Request) End(actions []Action) []Action {
+func (r *Request) End(now time.Time, actions []Action) []Action {
 	switch {
 	case r.done:
 		return actions
 	case r.config.Route.FansOut() && r.in >= r.need:
-		return r.finish(FinishAnswered, CauseLeaving, actions)
+		return r.finish(FinishAnswered, CauseLeaving, now, actions)
 	default:
-		return r.finish(r.failure(), CauseLeaving, actions)
+		return r.finish(r.failure(), CauseLeaving, now, actions)
 	}
 }
 
@@ -264,6 +268,14 @@
 	return r.send(index, anvilbalance.CallHedge, now, actions)
 }
 
+// noLeaf returns why no leaf of a service can be called.
+func (r *Request) noLeaf(name anvilmodel.ServiceName, now time.Time) Cause {
+	if r.config.Deferral(name, now) > 0 {
+		return CauseDeferred
+	}
+	return CauseNoLeaf
+}
+
 func (r *Request) fail(p *part, cause Cause) {
 	p.failed = true
 	p.cause = cause
@@ -277,15 +289,15 @@
 	case r.done:
 		return actions
 	case r.in == total:
-		return r.finish(FinishAnswered, CauseNone, actions)
+		return r.finish(FinishAnswered, CauseNone, now, actions)
 	case r.in+r.failed == total && r.in >= r.need:
-		return r.finish(FinishAnswered, r.missingCause(), actions)
+		return r.finish(FinishAnswered, r.missingCause(), now, actions)
 	case total-r.failed < r.need:
-		return r.finish(r.failure(), r.missingCause(), actions)
+		return r.finish(r.failure(), r.missingCause(), now, actions)
 	case !now.Before(r.limit):
-		return r.finish(r.failure(), CauseTimeout, actions)
+		return r.finish(r.failure(), CauseTimeout, now, actions)
 	case r.config.Route.FansOut() && r.in >= r.need && !now.Before(r.answerAt):
-		return r.finish(FinishAnswered, CauseTarget, actions)
+		return r.finish(FinishAnswered, CauseTarget, now, actions)
 	}
 	return actions
 }
@@ -307,12 +319,46 @@
 	return CauseNone
 }
 
-func (r *Request) finish(kind FinishKind, cause Cause, actions []Action) []Action {
-	r.done = true
+// retryAfter returns when a refused caller should come back.
+func (r *Request) retryAfter(cause Cause, now time.Time) time.Duration {
 	after := retryAfterBusy
-	if cause == CauseNoLeaf && r.verdict == anvilbalance.VerdictNone {
+	if r.verdict == anvilbalance.VerdictNone && (cause == CauseNoLeaf || cause == CauseDeferred) {
 		after = retryAfterNone
 	}
+	return max(r.deferral(after, now), after)
+}
+
+// deferral returns when enough of the failed parts have leafs that take calls again;
+// those of which nothing is known count as back after the time unknown. It returns 0
+// if no part waits for that.
+func (r *Request) deferral(unknown time.Duration, now time.Time) time.Duration {
+	short := r.need - (len(r.parts) - r.failed)
+	if short <= 0 {
+		return 0
+	}
+	deferred := false
+	waits := make([]time.Duration, 0, r.failed)
+	for i := range r.parts {
+		if !r.parts[i].failed {
+			continue
+		}
+		wait := r.config.Deferral(r.config.Services[i], now)
+		deferred = deferred || wait > 0
+		waits = append(waits, max(wait, unknown))
+	}
+	if !deferred {
+		return 0
+	}
+	slices.Sort(waits)
+	return waits[short-1]
+}
+
+func (r *Request) finish(kind FinishKind, cause Cause, now time.Time, actions []Action) []Action {
+	r.done = true
+	after := time.Duration(0)
+	if kind == FinishRefused {
+		after = r.retryAfter(cause, now)
+	}
 	return append(actions, Action{
 		Kind:       ActionFinish,
 		Finish:     kind,
--- a/anvilgather/request_test.go
+++ b/anvilgather/request_test.go
@@ -25,10 +25,16 @@
 	// verdicts are returned for a service in place of a leaf.
 	verdicts map[anvilmodel.ServiceName]anvilbalance.Verdict
 	down     map[anvilmodel.ServiceName]bool
+	// deferrals are how long the leafs of a service want no calls.
+	deferrals map[anvilmodel.ServiceName]time.Duration
 }
 
 func (s *shards) available(name anvilmodel.ServiceName, _ time.Time) bool {
-	return !s.down[name]
+	return !s.down[name] && s.deferrals[name] == 0
+}
+
+func (s *shards) deferral(name anvilmodel.ServiceName, _ time.Time) time.Duration {
+	return s.deferrals[name]
 }
 
 func (s *shards) pick(c anvilbalance.Choice, _ time.Time) (anvilbalance.Leaf, anvilbalance.Verdict) {
@@ -51,6 +57,7 @@
 		Timeout:    800 * time.Millisecond,
 		HedgeDelay: 40 * time.Millisecond,
 		Available:  s.available,
+		Deferral:   s.deferral,
 		Pick:       s.pick,
 	}
 	for i := range parts {
@@ -185,6 +192,51 @@
 	}
 }
 
+// Pattern: the leafs of four shards turn calls away for 3, 2, 1 and 4 s, and two more
+// shards than may be missing are gone for these reasons. Guards against callers who wait
+// for what is known not to come, or who are sent back before enough shards take calls.
+func TestDeferredShardsAreRefusedWithTheTimeLeft(t *testing.T) {
+	s := &shards{
+		leafs: 2,
+		deferrals: map[anvilmodel.ServiceName]time.Duration{
+			"1": 3 * time.Second,
+			"4": 2 * time.Second,
+			"5": time.Second,
+			"7": 4 * time.Second,
+		},
+	}
+	actions := newRequest(s, anvilroute.Route{MinCoverage: 0.89}, 20).Start(start, nil)
+	if diff := cmp.Diff("refused leafs-deferred", finishOf(actions)); diff != "" {
+		t.Errorf("finish (-want +got):\n%s", diff)
+	}
+	if calls := ofKind(actions, anvilgather.ActionCall); len(calls) > 0 {
+		t.Errorf("%d calls were sent for a refused query", len(calls))
+	}
+	if diff := cmp.Diff(2*time.Second, ofKind(actions, anvilgather.ActionFinish)[0].RetryAfter); diff != "" {
+		t.Errorf("time to come back (-want +got):\n%s", diff)
+	}
+}
+
+// Pattern: both leafs of a service turn a request away and want no calls for a while.
+// Guards against a refusal that sends the caller back at once.
+func TestTurnedAwayByAllLeafs(t *testing.T) {
+	s := &shards{
+		leafs:     2,
+		deferrals: make(map[anvilmodel.ServiceName]time.Duration),
+	}
+	r := newRequest(s, anvilroute.Route{NonIdempotent: true}, 1)
+	calls := ofKind(r.Start(start, nil), anvilgather.ActionCall)
+	calls = ofKind(r.Handle(calls[0].Call, anvilbalance.OutcomeShed, start, nil), anvilgather.ActionCall)
+	s.deferrals["0"] = 3 * time.Second
+	actions := r.Handle(calls[0].Call, anvilbalance.OutcomeShed, start, nil)
+	if diff := cmp.Diff("refused leaf-shed", finishOf(actions)); diff != "" {
+		t.Errorf("finish (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(3*time.Second, ofKind(actions, anvilgather.ActionFinish)[0].RetryAfter); diff != "" {
+		t.Errorf("time to come back (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against a failed shard that keeps the others waiting.
 func TestFailedShardDoesNotDelayTheAnswer(t *testing.T) {
 	r := newRequest(&shards{leafs: 1}, anvilroute.Route{MinCoverage: 0.75}, 4)
--- a/anvilpeer/published_test.go
+++ b/anvilpeer/published_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"anvilbridge/anvilmirror"
+	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
 )
 
@@ -45,9 +46,27 @@
 			},
 		},
 		Age: time.Second,
+		Departures: []anvilmodel.Departure{
+			{
+				Leaf:    "a",
+				Started: time.UnixMilli(1796385600123),
+			},
+			{
+				Leaf: "b",
+			},
+		},
 	}
+	told := []anvilmodel.Departure{{
+		Leaf:    "c",
+		Started: time.UnixMilli(1796385600456),
+	}}
 	p := (&peer{}).start(t, anvilpeer.Handlers{
-		Published: func(context.Context, anvilpeer.PublishedQuestion) anvilpeer.Published { return want },
+		Published: func(_ context.Context, q anvilpeer.PublishedQuestion) anvilpeer.Published {
+			if diff := cmp.Diff(told, q.Departures); diff != "" {
+				t.Errorf("departures of the question (-want +got):\n%s", diff)
+			}
+			return want
+		},
 	})
 	var crossed atomic.Int64
 	client := anvilpeer.NewClient(anvilpeer.ClientConfig{
@@ -63,7 +82,8 @@
 	defer func() { _ = client.Close() }()
 	for range 2 {
 		got, err := client.Published(t.Context(), p.address, anvilpeer.PublishedQuestion{
-			After: 3,
+			After:      3,
+			Departures: told,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"anvilbridge/anvilmirror"
+	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilproto"
 )
 
@@ -16,6 +17,8 @@
 	// Lapse is how much longer deleted entries may have lapsed because the store was
 	// away.
 	Lapse time.Duration
+	// Departures are the leafs that are known to leave although they may be listed.
+	Departures []anvilmodel.Departure
 }
 
 // PublishedQuestion asks for what is missing of a prefix.
@@ -29,6 +32,8 @@
 	Digest uint64
 	// Wait is how long to wait for a change after Latest.
 	Wait time.Duration
+	// Departures are the leafs that the asking node knows to leave.
+	Departures []anvilmodel.Departure
 }
 
 func encodePublishedQuestion(q PublishedQuestion) *anvilproto.PublishedRequest {
@@ -38,16 +43,18 @@
 		Latest:     q.Latest,
 		Digest:     q.Digest,
 		WaitMicros: q.Wait.Microseconds(),
+		Departures: encodeDepartures(q.Departures),
 	}
 }
 
 func decodePublishedQuestion(q *anvilproto.PublishedRequest) PublishedQuestion {
 	return PublishedQuestion{
-		Prefix: q.GetPrefix(),
-		After:  q.GetAfter(),
-		Latest: q.GetLatest(),
-		Digest: q.GetDigest(),
-		Wait:   time.Duration(q.GetWaitMicros()) * time.Microsecond,
+		Prefix:     q.GetPrefix(),
+		After:      q.GetAfter(),
+		Latest:     q.GetLatest(),
+		Digest:     q.GetDigest(),
+		Wait:       time.Duration(q.GetWaitMicros()) * time.Microsecond,
+		Departures: decodeDepartures(q.GetDepartures()),
 	}
 }
 
@@ -60,6 +67,7 @@
 		Digest:    c.Digest,
 
 		LapseMicros: c.Lapse.Microseconds(),
+		Departures:  encodeDepartures(c.Departures),
 	}
 	for _, i := range c.Items {
 		value, compressed := z.compress(i)
@@ -83,8 +91,9 @@
 			Digest:   reply.GetDigest(),
 			Items:    make([]anvilmirror.Item, 0, len(reply.GetItems())),
 		},
-		Age:   time.Duration(reply.GetAgeMicros()) * time.Microsecond,
-		Lapse: time.Duration(reply.GetLapseMicros()) * time.Microsecond,
+		Age:        time.Duration(reply.GetAgeMicros()) * time.Microsecond,
+		Lapse:      time.Duration(reply.GetLapseMicros()) * time.Microsecond,
+		Departures: decodeDepartures(reply.GetDepartures()),
 	}
 	for _, i := range reply.GetItems() {
 		value := i.GetValue()
@@ -103,3 +112,31 @@
 	}
 	return c, nil
 }
+
+func encodeDepartures(departures []anvilmodel.Departure) []*anvilproto.Departure {
+	encoded := make([]*anvilproto.Departure, 0, len(departures))
+	for _, d := range departures {
+		e := &anvilproto.Departure{
+			Leaf: string(d.Leaf),
+		}
+		if !d.Started.IsZero() {
+			e.StartedMicros = d.Started.UnixMicro()
+		}
+		encoded = append(encoded, e)
+	}
+	return encoded
+}
+
+func decodeDepartures(encoded []*anvilproto.Departure) []anvilmodel.Departure {
+	var departures []anvilmodel.Departure
+	for _, e := range encoded {
+		d := anvilmodel.Departure{
+			Leaf: anvilmodel.LeafName(e.GetLeaf()),
+		}
+		if micros := e.GetStartedMicros(); micros != 0 {
+			d.Started = time.UnixMicro(micros)
+		}
+		departures = append(departures, d)
+	}
+	return departures
+}
