Limit queries by the time of half of their parts, and let late ones wait

Pattern: a burst of 2.5 to 3 times for 4 s while leafs hang. Change: the limit falls when half of the parts are late, by the target or by twice the usual time, whichever is longer; one cut for the queries that were under way. Queries that cannot reach their target any more, mostly of callers who were refused before, fill 0.6 of the limit at most. Refused callers come back after as long as the overload has lasted, 0.1 to 1 s, spread. The checks of limiter_test.go are the same, on the new calls.

--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -141,6 +141,11 @@
 	}
 }
 
+// Draw returns a random number from 0 to 1.
+func (b *Balancer) Draw() float64 {
+	return b.config.Random.Float64()
+}
+
 func (b *Balancer) service(name anvilmodel.ServiceName) *serviceState {
 	s := b.services[name]
 	if s == nil {
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -77,17 +77,17 @@
 		s.refuse(refused)
 		return
 	}
-	if !s.admit() {
-		s.refuse(newRefusal(http.StatusServiceUnavailable, "leafs-overloaded", anvilgather.RetryAfterOverload))
+	if refused := s.admit(); refused != nil {
+		s.refuse(refused)
 		return
 	}
 	s.run(r)
 }
 
-// admit reports whether the leafs of a query can take it, as far as is known.
-func (s *served) admit() bool {
+// admit refuses a query that its leafs cannot take, as far as is known.
+func (s *served) admit() *refusal {
 	if !s.route.FansOut() {
-		return true
+		return nil
 	}
 	g := s.gateway
 	g.balancing.Lock()
@@ -99,7 +99,16 @@
 		s.limiter = anvilgather.NewLimiter()
 		g.limiters[key] = s.limiter
 	}
-	return s.limiter.Admit(s.route.Priority)
+	s.elapsed, s.transit = g.clock.Observe(s.route.Name, s.stated, s.opened, s.arrived)
+	if s.limiter.Admit(anvilgather.Asked{
+		Route:    s.route.Name,
+		Priority: s.route.Priority,
+		Target:   s.route.Target,
+		Elapsed:  s.elapsed,
+	}) {
+		return nil
+	}
+	return newRefusal(http.StatusServiceUnavailable, "leafs-overloaded", s.limiter.RetryAfter(s.arrived, g.balancer.Draw()))
 }
 
 // release tells the limiter how the query ended.
@@ -111,10 +120,16 @@
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
 	answered := finish != nil && finish.Finish == anvilgather.FinishAnswered
-	shed := finish != nil && !answered && finish.Cause == anvilgather.CauseShed
-	// The time before the arrival does not count: a second attempt arrives late.
-	late := time.Since(s.arrived) > s.route.Target
-	s.limiter.Done(answered && !late, shed || late, time.Now())
+	now := time.Now()
+	half, in := s.request.Half(now)
+	s.limiter.Done(anvilgather.Ended{
+		Route:   s.route.Name,
+		Target:  s.route.Target,
+		Started: s.arrived,
+		Half:    half,
+		Unknown: !in && finish == nil,
+		Shed:    finish != nil && !answered && finish.Cause == anvilgather.CauseShed,
+	}, now)
 }
 
 // served is a request that is being served.
@@ -326,7 +341,9 @@
 		g.balancer.CountRequest(name, now)
 	}
 	s.hedgeDelay = g.balancer.HedgeDelay(s.route.Name, s.route.Target)
-	s.elapsed, s.transit = g.clock.Observe(s.route.Name, s.stated, s.opened, now)
+	if !s.route.FansOut() {
+		s.elapsed, s.transit = g.clock.Observe(s.route.Name, s.stated, s.opened, now)
+	}
 	return services
 }
 
--- a/anvilgather/limiter.go
+++ b/anvilgather/limiter.go
@@ -1,6 +1,10 @@
 package anvilgather
 
-import "time"
+import (
+	"time"
+
+	"anvilbridge/anvilroute"
+)
 
 const (
 	// firstLimit is where a limiter starts: far above what leafs of today's sizes
@@ -9,29 +13,49 @@
 	// leastLimit and mostLimit bound the limit.
 	leastLimit = 2.0
 	mostLimit  = 512.0
-	// cutFactor is what remains of the limit after a query that the leafs could not
-	// take, cutPause the least time between two cuts: queries that were under way at
-	// a cut say nothing about the new limit.
-	cutFactor = 0.9
-	cutPause  = 20 * time.Millisecond
+	// cutFactor is what remains of the limit after a sign of overload.
+	cutFactor = 0.8
 	// usedShare is the part of the limit that has to be in use for it to grow.
 	usedShare = 0.6
 	// lesserShare is the part of the limit that requests of a lesser rank may fill.
 	lesserShare = 0.85
-	// RetryAfterOverload is stated to callers that a limiter refuses: long enough
-	// for a queue of a leaf to empty.
-	RetryAfterOverload = 250 * time.Millisecond
+	// lateShare is the part of the limit that requests may fill whose target has passed:
+	// in their place others are answered in time.
+	lateShare = 0.6
+	// halfShare is the part of the target within which half of the parts of a query are
+	// due, because the others take longer.
+	halfShare = 1 / wholeFactor
+	// wholeFactor is how many times the time of half of the parts all of them take.
+	wholeFactor = 3.0
+	// halfFactor is how many times the usual time half of the parts may take if that
+	// is longer: leafs whose work alone takes most of the target are not overloaded.
+	halfFactor = 2.0
+	// usualSmoothing is the weight of a new sample in the usual time.
+	usualSmoothing = 0.1
+	// calmTime is the time without a sign of overload after which it is over.
+	calmTime = time.Second
+	// shortestReturn and longestReturn bound the time after which refused callers come
+	// back.
+	shortestReturn = 100 * time.Millisecond
+	longestReturn  = time.Second
+	// returnSpread is the part of that time over which they are spread.
+	returnSpread = 0.5
 )
 
 // Limiter bounds the queries that a node works on at a time over one set of
-// shards. A query whose calls are shed by some shards fails after the others have
-// worked for it; when leafs are overloaded, most queries end that way and hardly
-// any is answered. The limit falls with each such query and grows again with
-// those that are answered. It is not safe for concurrent use.
+// shards. When leafs are overloaded, queries wait in their queues until their targets
+// have passed, or are shed by some shards after the others have worked for them, and
+// hardly any is answered in time. The limit falls when a query is shed, or when half of
+// its parts are late: a few slow or paused shards are no sign of overload. It grows again
+// with queries whose parts come in time. It is not safe for concurrent use.
 type Limiter struct {
 	limit   float64
 	running int
 	cutAt   time.Time
+	// overloadedAt is when the present overload began.
+	overloadedAt time.Time
+	// usual is how long half of the parts take without others before them.
+	usual map[anvilroute.Name]time.Duration
 	// highest is the highest rank seen, which is the lowest number.
 	highest int
 	seen    bool
@@ -42,6 +66,7 @@
 func NewLimiter() *Limiter {
 	return &Limiter{
 		limit: firstLimit,
+		usual: make(map[anvilroute.Name]time.Duration),
 	}
 }
 
@@ -50,17 +75,30 @@
 	return l.limit
 }
 
-// Admit reports whether a query of the priority may run; if so, Done must follow.
-// Priorities count from 0, the highest.
-func (l *Limiter) Admit(priority int) bool {
-	if !l.seen || priority < l.highest {
-		l.highest = priority
+// Asked is a query that asks to be admitted.
+type Asked struct {
+	Route anvilroute.Name
+	// Priority counts from 0, the highest.
+	Priority int
+	Target   time.Duration
+	// Elapsed is how much of the target had passed when the query arrived: most of it
+	// if its caller was refused before.
+	Elapsed time.Duration
+}
+
+// Admit reports whether a query may run; if so, Done must follow.
+func (l *Limiter) Admit(a Asked) bool {
+	if !l.seen || a.Priority < l.highest {
+		l.highest = a.Priority
 		l.seen = true
 	}
 	limit := l.limit
-	if priority > l.highest {
+	if a.Priority > l.highest {
 		limit = max(limit*lesserShare, 1)
 	}
+	if a.Elapsed+time.Duration(wholeFactor*float64(l.usual[a.Route])) > a.Target {
+		limit = max(limit*lateShare, 1)
+	}
 	if float64(l.running) >= limit {
 		return false
 	}
@@ -68,19 +106,71 @@
 	return true
 }
 
-// Done ends an admitted query: answered says that it was answered in time,
-// overloaded that it failed because leafs shed its calls, or ended past its target
-// because they had queued them.
-func (l *Limiter) Done(answered, overloaded bool, now time.Time) {
+// Ended is how a query has ended.
+type Ended struct {
+	Route  anvilroute.Name
+	Target time.Duration
+	// Started is when the query was admitted.
+	Started time.Time
+	// Half is the time until half of its parts were in, or until its end if they never
+	// were.
+	Half time.Duration
+	// Unknown says that the caller left before half of the parts were in.
+	Unknown bool
+	// Shed says that the query failed because leafs shed its calls.
+	Shed bool
+}
+
+// Done ends an admitted query.
+func (l *Limiter) Done(e Ended, now time.Time) {
 	used := float64(l.running) >= usedShare*l.limit
 	l.running--
+	late := !e.Unknown && e.Half > l.due(e.Route, e.Target)
+	if !e.Unknown && !e.Shed {
+		l.learn(e.Route, e.Half)
+	}
 	switch {
-	case overloaded:
-		if now.Sub(l.cutAt) >= cutPause {
-			l.limit = max(l.limit*cutFactor, leastLimit)
-			l.cutAt = now
-		}
-	case answered && used:
+	case e.Shed || late:
+		l.cut(e.Started, now)
+	case used && !e.Unknown:
 		l.limit = min(l.limit+1/l.limit, mostLimit)
 	}
 }
+
+// due returns the time within which half of the parts of a query are due.
+func (l *Limiter) due(route anvilroute.Name, target time.Duration) time.Duration {
+	return max(time.Duration(halfShare*float64(target)), time.Duration(halfFactor*float64(l.usual[route])))
+}
+
+// learn takes over how long half of the parts took. A longer time than usual counts only
+// while hardly any query runs: then it is not due to others.
+func (l *Limiter) learn(route anvilroute.Name, half time.Duration) {
+	usual, known := l.usual[route]
+	switch {
+	case !known:
+		l.usual[route] = half
+	case half < usual || float64(l.running) <= leastLimit:
+		l.usual[route] = usual + time.Duration(usualSmoothing*float64(half-usual))
+	}
+}
+
+// cut lowers the limit because of a query that started at the time. Queries that were
+// under way at a cut say nothing about the new limit.
+func (l *Limiter) cut(started, now time.Time) {
+	if started.Before(l.cutAt) {
+		return
+	}
+	if now.Sub(l.cutAt) > calmTime {
+		l.overloadedAt = now
+	}
+	l.limit = max(min(l.limit, float64(l.running+1))*cutFactor, leastLimit)
+	l.cutAt = now
+}
+
+// RetryAfter returns when a caller that is refused should come back. Nothing is known of
+// the end of an overload; on average one lasts as long again as it has lasted. The draw,
+// from 0 to 1, spreads the callers.
+func (l *Limiter) RetryAfter(now time.Time, draw float64) time.Duration {
+	after := min(max(now.Sub(l.overloadedAt), shortestReturn), longestReturn)
+	return time.Duration(float64(after) * (1 + returnSpread*(draw-0.5)))
+}
--- a/anvilgather/limiter_test.go
+++ b/anvilgather/limiter_test.go
@@ -10,6 +10,14 @@
 
 const seed = 20261204
 
+func asked(priority int) anvilgather.Asked {
+	return anvilgather.Asked{
+		Route:    "r",
+		Priority: priority,
+		Target:   200 * time.Millisecond,
+	}
+}
+
 // playBurst lets queries arrive at a rate at shards that can work on a number of
 // them at a time, each for 80 ms, and shed what is beyond. A query that is shed
 // occupies the other shards for a part of that time. It returns the queries that
@@ -19,8 +27,9 @@
 	random := rand.New(rand.NewPCG(seed, uint64(perSecond)))
 	l := anvilgather.NewLimiter()
 	type running struct {
-		end time.Time
-		ok  bool
+		begun time.Time
+		end   time.Time
+		ok    bool
 	}
 	var open []running
 	const length = 12 * time.Second
@@ -32,7 +41,13 @@
 				continue
 			}
 			if limited {
-				l.Done(q.ok, !q.ok, now)
+				l.Done(anvilgather.Ended{
+					Route:   "r",
+					Target:  200 * time.Millisecond,
+					Started: q.begun,
+					Half:    wasted,
+					Shed:    !q.ok,
+				}, now)
 			}
 			if now.Sub(start) > length/2 {
 				if q.ok {
@@ -43,18 +58,20 @@
 			}
 		}
 		open = kept
-		if random.IntN(1000) >= perSecond || limited && !l.Admit(1) {
+		if random.IntN(1000) >= perSecond || limited && !l.Admit(asked(1)) {
 			continue
 		}
 		if len(open) < room {
 			open = append(open, running{
-				end: now.Add(work),
-				ok:  true,
+				begun: now,
+				end:   now.Add(work),
+				ok:    true,
 			})
 			continue
 		}
 		open = append(open, running{
-			end: now.Add(wasted),
+			begun: now,
+			end:   now.Add(wasted),
 		})
 	}
 	return answered, failed
@@ -90,12 +107,12 @@
 // Guards against lesser requests that take the room of the more urgent ones.
 func TestUrgentQueriesHaveRoom(t *testing.T) {
 	l := anvilgather.NewLimiter()
-	l.Admit(0)
+	l.Admit(asked(0))
 	n := 0
-	for l.Admit(2) {
+	for l.Admit(asked(2)) {
 		n++
 	}
-	if float64(n) >= l.Limit()-1 || !l.Admit(0) {
+	if float64(n) >= l.Limit()-1 || !l.Admit(asked(0)) {
 		t.Errorf("%d lesser queries run under a limit of %.0f and an urgent one is refused", n, l.Limit())
 	}
 }
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -64,8 +64,10 @@
 	mayRun   bool
 	done     bool
 	answerAt time.Time
-	limit    time.Time
-	verdict  anvilbalance.Verdict
+	// halfAt is when half of the parts were in.
+	halfAt  time.Time
+	limit   time.Time
+	verdict anvilbalance.Verdict
 }
 
 type part struct {
@@ -146,6 +148,9 @@
 	if o == anvilbalance.OutcomeGood {
 		p.in = true
 		r.in++
+		if r.halfAt.IsZero() && 2*r.in >= len(r.parts) {
+			r.halfAt = now
+		}
 		if p.failed {
 			p.failed = false
 			r.failed--
@@ -387,6 +392,15 @@
 	return next
 }
 
+// Half returns how long it took until half of the parts were in, or how long the
+// request has taken so far if they are not.
+func (r *Request) Half(now time.Time) (half time.Duration, in bool) {
+	if r.halfAt.IsZero() {
+		return now.Sub(r.config.Arrived), false
+	}
+	return r.halfAt.Sub(r.config.Arrived), true
+}
+
 // Open returns the number of calls that have not ended.
 func (r *Request) Open() int {
 	return r.open
