Tell leafs the time left to the answer of a query

Pattern: leafs queue more than they can run before the targets of the queries. Cause: a part was worked on until the caller's timeout, up to ten targets later, although the query had been answered without it; queues were filled with work that nobody waited for. Change: the leaf is told the time left to the moment of the answer and drops the call from its queue. Past that moment it is told all the time, so that the floor can still be reached.

--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -115,17 +115,18 @@
 }
 
 // call sends a request to a leaf once and reads the reply. It ends early when ctx
-// does. A kept connection that the leaf has closed is replaced if certainly no
+// does. The leaf is told the time until the deadline; its reply is awaited until that of
+// the request. A kept connection that the leaf has closed is replaced if certainly no
 // byte was sent.
-func (g *Gateway) call(ctx context.Context, out *outbound, leaf anvilbalance.Leaf) *reply {
+func (g *Gateway) call(ctx context.Context, out *outbound, leaf anvilbalance.Leaf, deadline time.Time) *reply {
 	p := g.pool(leaf)
-	deadline := out.deadline.Add(replySlack)
-	conn := p.take(time.Now(), deadline, out.nonIdempotent)
+	patience := out.deadline.Add(replySlack)
+	conn := p.take(time.Now(), patience, out.nonIdempotent)
 	for {
 		opened := conn == nil
 		if opened {
 			var err error
-			if conn, err = p.dial(ctx, deadline); err != nil {
+			if conn, err = p.dial(ctx, patience); err != nil {
 				return &reply{
 					outcome: anvilbalance.OutcomeUnsent,
 					err:     err,
@@ -138,7 +139,7 @@
 				}
 			}
 		}
-		r, sent := g.exchange(ctx, p, conn, out, leaf)
+		r, sent := g.exchange(ctx, p, conn, out, leaf, deadline)
 		if opened || sent || ctx.Err() != nil {
 			return r
 		}
@@ -149,8 +150,8 @@
 // exchange sends the call over a connection of the pool and reads the reply. The
 // connection is kept afterwards or closed. sent is false only if certainly no byte of the
 // call was sent.
-func (g *Gateway) exchange(ctx context.Context, p *pool, conn *leafConn, out *outbound, leaf anvilbalance.Leaf) (r *reply, sent bool) {
-	left := time.Until(out.deadline)
+func (g *Gateway) exchange(ctx context.Context, p *pool, conn *leafConn, out *outbound, leaf anvilbalance.Leaf, deadline time.Time) (r *reply, sent bool) {
+	left := time.Until(deadline)
 	message := make([]byte, 0, len(out.head)+len(out.body)+128)
 	message = append(message, out.head...)
 	message = g.config.Protocol.AppendCall(message, max(left, time.Millisecond), leaf.ID)
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -394,11 +394,12 @@
 		switch a.Kind {
 		case anvilgather.ActionCall:
 			c := &leafCall{
-				served: s,
-				index:  a.Call,
-				part:   a.Part,
-				kind:   a.CallKind,
-				leaf:   a.Leaf,
+				served:   s,
+				index:    a.Call,
+				part:     a.Part,
+				kind:     a.CallKind,
+				leaf:     a.Leaf,
+				deadline: a.Deadline,
 			}
 			s.started = append(s.started, c)
 			go c.run(calls)
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -16,6 +16,8 @@
 	part   int
 	kind   anvilbalance.CallKind
 	leaf   anvilbalance.Leaf
+	// deadline is until when the leaf may work on the call.
+	deadline time.Time
 	// state makes sure that an overdue call is reported to the balancer before its
 	// end, or not at all.
 	state atomic.Int32
@@ -43,7 +45,7 @@
 	s := c.served
 	g := s.gateway
 	start := time.Now()
-	r := g.call(ctx, s.out, c.leaf)
+	r := g.call(ctx, s.out, c.leaf, c.deadline)
 	elapsed := time.Since(start)
 	g.finishCall(anvilbalance.Result{
 		Leaf:      c.leaf,
--- a/anvilgather/action.go
+++ b/anvilgather/action.go
@@ -28,6 +28,8 @@
 	Part     int
 	CallKind anvilbalance.CallKind
 	Leaf     anvilbalance.Leaf
+	// Deadline is set for ActionCall: until then the leaf may work on the call.
+	Deadline time.Time
 	// Finish, Cause and RetryAfter are set for ActionFinish.
 	Finish FinishKind
 	Cause  Cause
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -18,6 +18,9 @@
 	reserveShare    = 0.04
 	// limitReserve is the same for the end of the request's time.
 	limitReserve = 15 * time.Millisecond
+	// leastCallTime is the time before the answer below which a call is not meant to be
+	// in time for it.
+	leastCallTime = 10 * time.Millisecond
 	// busyDelay is the time after which a leaf is looked for again when all were at
 	// a bound.
 	busyDelay = 15 * time.Millisecond
@@ -216,9 +219,21 @@
 		Part:     index,
 		CallKind: kind,
 		Leaf:     leaf,
+		Deadline: r.callDeadline(now),
 	})
 }
 
+// callDeadline returns until when a leaf may work on a call. A part that comes after the
+// answer is of no use: a leaf that knows this drops the call from its queue in place of
+// working on it before the next one. Past the target, every part counts until the floor
+// is reached.
+func (r *Request) callDeadline(now time.Time) time.Time {
+	if r.config.Route.FansOut() && r.answerAt.Sub(now) >= leastCallTime {
+		return r.answerAt
+	}
+	return r.config.Arrived.Add(r.config.Timeout)
+}
+
 // Tick does what is due at now.
 func (r *Request) Tick(now time.Time, actions []Action) []Action {
 	if r.done {
