Tell leafs the time of the answer while they are overloaded only, and space returns

Pattern: answers of leafs are lost or a leaf is slow, and a query just misses its floor at its target. Change: leafs are told the moment of the answer while the limiter has seen a sign of overload within the last second. What a request is before it is accepted moved from front.go to accept.go unchanged.

--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -2,16 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"anvilbridge/anvilbalance"
 	"anvilbridge/anvilgather"
 	"anvilbridge/anvilmetric"
@@ -23,34 +18,10 @@
 	// abandonGrace is how long calls that are not needed any more may take to end by
 	// themselves, so that their connections are kept.
 	abandonGrace = 250 * time.Millisecond
-	// retryAfterStart is stated by a node that has no configuration yet. It reads the
-	// store at once when a caller comes.
-	retryAfterStart = 150 * time.Millisecond
-	// retryAfterLeaving sends callers of a leaving node to another one.
-	retryAfterLeaving = 10 * time.Millisecond
-	// longestBodyTime is how long the body of a request may take to arrive.
-	longestBodyTime = 10 * time.Second
 	// writeTimeout is how long a caller may take to read an answer.
 	writeTimeout = 15 * time.Second
-	// retryAfterFull is stated when too many requests are worked on.
-	retryAfterFull = 200 * time.Millisecond
 )
 
-// refusal is an answer of the gateway's own.
-type refusal struct {
-	status     int
-	reason     string
-	retryAfter time.Duration
-}
-
-func newRefusal(status int, reason string, retryAfter time.Duration) *refusal {
-	return &refusal{
-		status:     status,
-		reason:     reason,
-		retryAfter: retryAfter,
-	}
-}
-
 // ServeHTTP serves a request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -106,6 +77,7 @@
 		Target:   s.route.Target,
 		Elapsed:  s.elapsed,
 	}) {
+		s.overloaded = s.limiter.Overloaded(s.arrived)
 		return nil
 	}
 	return newRefusal(http.StatusServiceUnavailable, "leafs-overloaded", s.limiter.RetryAfter(s.arrived, g.balancer.Draw()))
@@ -153,6 +125,8 @@
 	held       heldBytes
 	limiter    *anvilgather.Limiter
 	hedgeDelay time.Duration
+	// overloaded says that the leafs have more queries than they can answer in time.
+	overloaded bool
 	request    *anvilgather.Request
 	replies    chan callEnd
 	started    []*leafCall
@@ -169,110 +143,6 @@
 	reply *reply
 }
 
-// accept reads the request and finds its route.
-func (s *served) accept(r *http.Request, running int64) *refusal {
-	g := s.gateway
-	table := g.table.Load()
-	head, err := g.config.Protocol.DecodeRequest(r.Header)
-	s.id = head.ID
-	switch {
-	case g.closing.Load():
-		return newRefusal(http.StatusServiceUnavailable, "leaving", retryAfterLeaving)
-	case table == nil || !g.copies.Leafs.Loaded():
-		g.copies.Want()
-		return newRefusal(http.StatusServiceUnavailable, "no-configuration", retryAfterStart)
-	case err != nil:
-		return newRefusal(http.StatusBadRequest, err.Error(), 0)
-	}
-	s.version = table.Version()
-	target := requestTarget(r)
-	path, _, _ := strings.Cut(target, "?")
-	s.route = table.Find(r.Host, path)
-	switch {
-	case s.route == nil:
-		return newRefusal(http.StatusNotFound, "no-route", 0)
-	case running > int64(g.config.MaxRequests):
-		return newRefusal(http.StatusServiceUnavailable, "too-many-requests", retryAfterFull)
-	}
-	limits := table.Limits()
-	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
-		return newRefusal(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", 0)
-	}
-	body, refused := s.readBody(r, limits.BodyBytes, head.Timeout)
-	if refused != nil {
-		return refused
-	}
-	s.stated = head.Timeout
-	s.timeout = s.route.Timeout
-	if head.Timeout > 0 && (head.Timeout < s.timeout || s.timeout <= 0) {
-		s.timeout = head.Timeout
-	}
-	s.out = g.newOutbound(r, target, s.id, body)
-	s.out.nonIdempotent = s.route.NonIdempotent
-	s.out.deadline = s.arrived.Add(s.timeout)
-	return nil
-}
-
-// requestTarget returns path and query as the caller sent them.
-func requestTarget(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
-
-// headerBytes returns the size of the request's header lines.
-func headerBytes(r *http.Request) int64 {
-	const separators = len(": ") + len("\r\n")
-	size := 0
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + separators
-		}
-	}
-	return int64(size)
-}
-
-// readBody reads the body of a request, which has to arrive while its caller waits.
-func (s *served) readBody(r *http.Request, limit int64, timeout time.Duration) ([]byte, *refusal) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = s.gateway.config.MaxReplyBytes
-	}
-	if timeout <= 0 {
-		timeout = longestBodyTime
-	}
-	s.limitRead(s.arrived.Add(min(timeout, longestBodyTime)))
-	bodies := &bodyReader{
-		memory: &s.gateway.bodies,
-		limit:  limit,
-	}
-	body, err := bodies.read(r.Body, r.ContentLength)
-	s.held.keep(bodies.held)
-	switch {
-	case err == nil:
-		s.limitRead(time.Time{})
-		return body, nil
-	case errorx.IsOfType(err, TooLarge):
-		return nil, newRefusal(http.StatusRequestEntityTooLarge, "body-too-large", 0)
-	case errorx.IsOfType(err, MemoryFull):
-		return nil, newRefusal(http.StatusServiceUnavailable, "memory-full", retryAfterFull)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, newRefusal(http.StatusRequestTimeout, "body-too-slow", 0)
-	default:
-		return nil, newRefusal(http.StatusBadRequest, "body-incomplete", 0)
-	}
-}
-
-// limitRead bounds the time in which the rest of the request may arrive. The server
-// reads what is left of a body before it sends a refusal.
-func (s *served) limitRead(deadline time.Time) {
-	// An error shows in the read that follows.
-	_ = http.NewResponseController(s.writer).SetReadDeadline(deadline)
-}
-
 // run sends the calls of the request, waits for what they bring and answers.
 func (s *served) run(r *http.Request) {
 	g := s.gateway
@@ -287,6 +157,7 @@
 		Transit:    s.transit,
 		Timeout:    s.timeout,
 		HedgeDelay: s.hedgeDelay,
+		Overloaded: s.overloaded,
 		Available: func(name anvilmodel.ServiceName, now time.Time) bool {
 			g.balancing.Lock()
 			defer g.balancing.Unlock()
@@ -481,33 +352,6 @@
 	_ = http.NewResponseController(s.writer).SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
-// refuse answers a request that was not accepted and logs it.
-func (s *served) refuse(x *refusal) {
-	s.write(x)
-	g := s.gateway
-	route := ""
-	if s.route != nil {
-		route = string(s.route.Name)
-	}
-	g.config.Metrics.Add(anvilmetric.Queries, 1, route, x.reason)
-	g.config.Log.Info().Str("event", "request").Str("request", s.id).Str("route", route).
-		Uint64("version", s.version).Str("outcome", "refused").Int("status", x.status).
-		Str("cause", x.reason).Dur("retry-after-ms", x.retryAfter).Send()
-}
-
-func (s *served) write(x *refusal) {
-	header := s.writer.Header()
-	if x.retryAfter > 0 {
-		s.gateway.config.Protocol.EncodeRetryAfter(header, x.retryAfter)
-	}
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set("Content-Length", strconv.Itoa(len(x.reason)+1))
-	s.limitWrite()
-	s.writer.WriteHeader(x.status)
-	// The caller may have left; there is nobody else to tell.
-	_, _ = io.WriteString(s.writer, x.reason+"\n")
-}
-
 // logEnd writes the one line of a request that was accepted.
 func (s *served) logEnd(finish *anvilgather.Action) {
 	g := s.gateway
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -45,6 +45,8 @@
 // Gateway is a running node.
 type Gateway struct {
 	config Config
+	// started is when the process started.
+	started time.Time
 	// background ends when the process does.
 	background context.Context
 	stop       context.CancelFunc
@@ -105,6 +107,7 @@
 	background, stop := context.WithCancel(context.Background())
 	g := &Gateway{
 		config:     c,
+		started:    time.Now(),
 		background: background,
 		stop:       stop,
 		ending:     make(chan struct{}),
--- a/anvilgather/limiter.go
+++ b/anvilgather/limiter.go
@@ -34,12 +34,6 @@
 	usualSmoothing = 0.1
 	// calmTime is the time without a sign of overload after which it is over.
 	calmTime = time.Second
-	// shortestReturn and longestReturn bound the time after which refused callers come
-	// back.
-	shortestReturn = 100 * time.Millisecond
-	longestReturn  = time.Second
-	// returnSpread is the part of that time over which they are spread.
-	returnSpread = 0.5
 )
 
 // Limiter bounds the queries that a node works on at a time over one set of
@@ -75,6 +69,11 @@
 	return l.limit
 }
 
+// Overloaded reports whether there was a sign of overload a moment ago.
+func (l *Limiter) Overloaded(now time.Time) bool {
+	return now.Sub(l.cutAt) <= calmTime
+}
+
 // Asked is a query that asks to be admitted.
 type Asked struct {
 	Route anvilroute.Name
@@ -160,17 +159,15 @@
 	if started.Before(l.cutAt) {
 		return
 	}
-	if now.Sub(l.cutAt) > calmTime {
+	if !l.Overloaded(now) {
 		l.overloadedAt = now
 	}
 	l.limit = max(min(l.limit, float64(l.running+1))*cutFactor, leastLimit)
 	l.cutAt = now
 }
 
-// RetryAfter returns when a caller that is refused should come back. Nothing is known of
-// the end of an overload; on average one lasts as long again as it has lasted. The draw,
-// from 0 to 1, spreads the callers.
+// RetryAfter returns when a caller that is refused should come back. The draw, from 0 to
+// 1, spreads the callers.
 func (l *Limiter) RetryAfter(now time.Time, draw float64) time.Duration {
-	after := min(max(now.Sub(l.overloadedAt), shortestReturn), longestReturn)
-	return time.Duration(float64(after) * (1 + returnSpread*(draw-0.5)))
+	return ReturnAfter(now.Sub(l.overloadedAt), draw)
 }
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -46,6 +46,8 @@
 	Timeout time.Duration
 	// HedgeDelay is the time after which a call is overdue.
 	HedgeDelay time.Duration
+	// Overloaded says that the leafs have more queries than they can answer in time.
+	Overloaded bool
 	// Available reports whether a service has leafs that can be called.
 	Available func(name anvilmodel.ServiceName, now time.Time) bool
 	// Deferral returns how long all leafs of a service want no calls; 0 if one may be
@@ -223,12 +225,12 @@
 	})
 }
 
-// callDeadline returns until when a leaf may work on a call. A part that comes after the
-// answer is of no use: a leaf that knows this drops the call from its queue in place of
-// working on it before the next one. Past the target, every part counts until the floor
-// is reached.
+// callDeadline returns until when a leaf may work on a call. An overloaded leaf that knows
+// when the query is answered drops the call from its queue then, in place of working on
+// it before the next one. Otherwise a part that is late still counts, if the floor has
+// not been reached by then.
 func (r *Request) callDeadline(now time.Time) time.Time {
-	if r.config.Route.FansOut() && r.answerAt.Sub(now) >= leastCallTime {
+	if r.config.Overloaded && r.config.Route.FansOut() && r.answerAt.Sub(now) >= leastCallTime {
 		return r.answerAt
 	}
 	return r.config.Arrived.Add(r.config.Timeout)
