Hedge about one call of a query, however many its shards

Pattern: queries to many shards. Cause: with a fixed quantile the hedges of a query grow with its shards, to nine of each query to 90 shards at 0.9; each is work for a leaf, bytes between domains and processor time. Change: a call is overdue after the quantile 1 - 1/parts, at least 0.95. TestHedgesOfAQueryDoNotGrowWithItsParts fails with the fixed quantile (4.7 hedges a query to 90 shards).

--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -15,7 +15,8 @@
 	DefaultRetryRatio = 0.2
 	// DefaultRetryWindow is the time over which repeats are counted.
 	DefaultRetryWindow = 10 * time.Second
-	// DefaultHedgeQuantile is the latency quantile after which a call is overdue.
+	// DefaultHedgeQuantile is the latency quantile after which a call of a request with
+	// few parts is overdue.
 	DefaultHedgeQuantile = 0.95
 )
 
@@ -66,8 +67,8 @@
 	// second: its rate times the factor, plus the slack, for all nodes together.
 	ColdFactor float64
 	ColdSlack  float64
-	// HedgeQuantile is the latency quantile, from 0 to 1, after which a call is
-	// overdue.
+	// HedgeQuantile is the latency quantile, from 0 to 1, after which a call of a
+	// request with few parts is overdue.
 	HedgeQuantile float64
 }
 
@@ -231,11 +232,25 @@
 	return extras+1 <= room
 }
 
-// HedgeDelay returns the time after which a call of the route is overdue. The
-// target is the route's; it bounds the delay so that a second call can still be
-// answered within it.
-func (b *Balancer) HedgeDelay(route anvilroute.Name, target time.Duration) time.Duration {
+// latencyOf returns the latencies of a route's calls.
+func (b *Balancer) latencyOf(route anvilroute.Name) *latency {
 	l := b.routes[route]
+	if l == nil {
+		l = &latency{
+			tail: b.config.HedgeQuantile,
+		}
+		b.routes[route] = l
+	}
+	return l
+}
+
+// HedgeDelay returns the time after which a call of the route is overdue. Of a request
+// with many parts about one call takes that long, so that hedges do not grow with the
+// parts. The target is the route's; it bounds the delay so that a second call can still
+// be answered within it.
+func (b *Balancer) HedgeDelay(route anvilroute.Name, target time.Duration, parts int) time.Duration {
+	l := b.latencyOf(route)
+	l.tail = max(b.config.HedgeQuantile, 1-1/float64(max(parts, 1)))
 	if !l.known() {
 		return target / 4
 	}
--- a/anvilbalance/balance_test.go
+++ b/anvilbalance/balance_test.go
@@ -345,7 +345,7 @@
 // against hedging most calls of a route whose ordinary calls take that long.
 func TestHedgeDelay(t *testing.T) {
 	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 1)
-	if diff := cmp.Diff(15*time.Millisecond, b.HedgeDelay("r", 60*time.Millisecond)); diff != "" {
+	if diff := cmp.Diff(15*time.Millisecond, b.HedgeDelay("r", 60*time.Millisecond, 1)); diff != "" {
 		t.Errorf("delay of an unknown route (-want +got):\n%s", diff)
 	}
 	random := rand.New(rand.NewPCG(seed, 2))
@@ -353,7 +353,7 @@
 		l, _ := pick(b, anvilbalance.CallFirst, start)
 		finish(b, l, anvilbalance.OutcomeGood, 15*time.Millisecond+time.Duration(random.Int64N(int64(10*time.Millisecond))), start)
 	}
-	got := b.HedgeDelay("r", 150*time.Millisecond)
+	got := b.HedgeDelay("r", 150*time.Millisecond, 1)
 	if got < 22*time.Millisecond || got > 35*time.Millisecond {
 		t.Errorf("seed %d: calls of 15 to 25 ms are overdue after %s", seed, got)
 	}
@@ -385,3 +385,30 @@
 		t.Errorf("a retry to the leaf: %s", verdict)
 	}
 }
+
+// Pattern: a query to many shards. Guards against hedges that grow with the shards: nine
+// of each query to 90 shards.
+func TestHedgesOfAQueryDoNotGrowWithItsParts(t *testing.T) {
+	const parts = 90
+	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 1)
+	random := rand.New(rand.NewPCG(seed, 3))
+	draw := func() time.Duration {
+		return time.Duration(float64(10*time.Millisecond) * (1 + random.ExpFloat64()))
+	}
+	b.HedgeDelay("r", time.Second, parts)
+	for range 2000 {
+		l, _ := pick(b, anvilbalance.CallFirst, start)
+		finish(b, l, anvilbalance.OutcomeGood, draw(), start)
+	}
+	delay := b.HedgeDelay("r", time.Second, parts)
+	const queries = 1000
+	overdue := 0
+	for range queries * parts {
+		if draw() > delay {
+			overdue++
+		}
+	}
+	if hedges := float64(overdue) / queries; hedges < 0.3 || hedges > 3 {
+		t.Errorf("seed %d: %.1f calls of a query to %d shards are overdue after %s, want about one", seed, hedges, parts, delay)
+	}
+}
--- a/anvilbalance/latency.go
+++ b/anvilbalance/latency.go
@@ -28,8 +28,10 @@
 	total   float64
 	fresh   int
 	sampled int
-	median  time.Duration
-	late    time.Duration
+	// tail is the quantile that late is.
+	tail   float64
+	median time.Duration
+	late   time.Duration
 }
 
 func bucketOf(d time.Duration) int {
@@ -44,7 +46,7 @@
 	return time.Duration(float64(shortestLatency) * math.Exp2(float64(b)/bucketsPerOctave))
 }
 
-func (l *latency) add(d time.Duration, quantile float64) {
+func (l *latency) add(d time.Duration) {
 	l.counts[bucketOf(d)]++
 	l.total++
 	l.sampled++
@@ -58,7 +60,7 @@
 	if l.fresh >= refreshSamples || l.sampled <= fewSamples {
 		l.fresh = 0
 		l.median = l.quantile(0.5)
-		l.late = l.quantile(quantile)
+		l.late = l.quantile(l.tail)
 	}
 }
 
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -449,12 +449,8 @@
 // learn takes the latency of a call over. For a call that was given up it is a
 // lower bound, which only counts if it is above the average.
 func (b *Balancer) learn(l *leafState, r Result, answered bool) {
-	route := b.routes[r.Route]
-	if route == nil {
-		route = &latency{}
-		b.routes[r.Route] = route
-	}
-	route.add(r.Elapsed, b.config.HedgeQuantile)
+	route := b.latencyOf(r.Route)
+	route.add(r.Elapsed)
 	if !route.known() || route.median <= 0 {
 		return
 	}
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -211,7 +211,7 @@
 	for _, name := range services {
 		g.balancer.CountRequest(name, now)
 	}
-	s.hedgeDelay = g.balancer.HedgeDelay(s.route.Name, s.route.Target)
+	s.hedgeDelay = g.balancer.HedgeDelay(s.route.Name, s.route.Target, len(services))
 	if !s.route.FansOut() {
 		s.elapsed, s.transit = g.clock.Observe(s.route.Name, s.stated, s.opened, now)
 	}
--- a/anvilgather/fleet_test.go
+++ b/anvilgather/fleet_test.go
@@ -251,7 +251,7 @@
 	}
 	delay := f.policy.hedgeDelay
 	if delay == 0 {
-		delay = n.balancer.HedgeDelay(f.route.Name, f.route.Target)
+		delay = n.balancer.HedgeDelay(f.route.Name, f.route.Target, f.shards)
 	}
 	q := &modelQuery{
 		fleet: f,
