Take quick failures for no sign, and log the limit of queries

A query that failed at once, for want of leafs, counted as one whose parts were quick: it raised the limit and lowered the usual time. RetryAfter counted from an overload long past. Both found by reading; TestQuickFailuresSayNothing. What a reply says counts for the leaf that was called only if it names no other one, in calls as in health checks, whose unreadable headers are logged now as well. Refusals for overload state the limit and how much of the time had passed; explain shows departures and deferrals.

--- a/anvilcommand/explain.go
+++ b/anvilcommand/explain.go
@@ -35,6 +35,8 @@
 	"leaf-removed":          true,
 	"leaf-ejected":          true,
 	"leaf-returned":         true,
+	"leaf-leaving":          true,
+	"leaf-deferred":         true,
 }
 
 // Run prints the lines in the order of time.
--- a/anvilgateway/accept.go
+++ b/anvilgateway/accept.go
@@ -152,9 +152,13 @@
 		route = string(s.route.Name)
 	}
 	g.config.Metrics.Add(anvilmetric.Queries, 1, route, x.reason)
-	g.config.Log.Info().Str("event", "request").Str("request", s.id).Str("route", route).
+	line := g.config.Log.Info().Str("event", "request").Str("request", s.id).Str("route", route).
 		Uint64("version", s.version).Str("outcome", "refused").Int("status", x.status).
-		Str("cause", x.reason).Dur("retry-after-ms", x.retryAfter).Send()
+		Str("cause", x.reason).Dur("retry-after-ms", x.retryAfter)
+	if s.limiter != nil {
+		line.Float64("limit", s.limit).Dur("elapsed-before-ms", s.elapsed)
+	}
+	line.Send()
 }
 
 func (s *served) write(x *refusal) {
--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 
 	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmodel"
 )
 
 const (
@@ -251,11 +252,7 @@
 		conn.idleFor = 0
 	}
 	leaf := g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
-	if leaf.Unreadable != "" {
-		g.config.Log.Warn().Str("event", "leaf-header-unreadable").Str("request", out.id).
-			Str("leaf", string(leaf.Instance)).Str("header", leaf.Unreadable).
-			Str("value", resp.Header.Get(leaf.Unreadable)).Send()
-	}
+	g.logUnreadable(leaf, resp.Header, out.id, leaf.Instance)
 	if r.err = ownReply(leaf, resp.StatusCode, out.id); r.err != nil {
 		return r, last
 	}
@@ -267,6 +264,16 @@
 	return r, last
 }
 
+// logUnreadable logs a header of a leaf's reply that counts as absent. The request is
+// empty for a health check.
+func (g *Gateway) logUnreadable(r LeafReply, header http.Header, request string, leaf anvilmodel.LeafName) {
+	if r.Unreadable == "" {
+		return
+	}
+	g.config.Log.Warn().Str("event", "leaf-header-unreadable").Str("request", request).
+		Str("leaf", string(leaf)).Str("header", r.Unreadable).Str("value", header.Get(r.Unreadable)).Send()
+}
+
 // ownReply returns an error for a reply that does not prove to answer the request.
 // What it says then counts for nothing, also that the leaf has not run the request.
 func ownReply(leaf LeafReply, status int, id string) error {
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -71,6 +71,7 @@
 		g.limiters[key] = s.limiter
 	}
 	s.elapsed, s.transit = g.clock.Observe(s.route.Name, s.stated, s.opened, s.arrived)
+	s.limit = s.limiter.Limit()
 	if s.limiter.Admit(anvilgather.Asked{
 		Route:    s.route.Name,
 		Priority: s.route.Priority,
@@ -99,7 +100,7 @@
 		Target:  s.route.Target,
 		Started: s.arrived,
 		Half:    half,
-		Unknown: !in && finish == nil,
+		In:      in,
 		Shed:    finish != nil && !answered && finish.Cause == anvilgather.CauseShed,
 	}, now)
 }
@@ -122,8 +123,10 @@
 	elapsed time.Duration
 	transit time.Duration
 
-	held       heldBytes
-	limiter    *anvilgather.Limiter
+	held    heldBytes
+	limiter *anvilgather.Limiter
+	// limit is that of the limiter on arrival.
+	limit      float64
 	hedgeDelay time.Duration
 	// overloaded says that the leafs have more queries than they can answer in time.
 	overloaded bool
@@ -370,6 +373,9 @@
 	if missing := s.request.Missing(); len(missing) > 0 {
 		line.Str("missing", describeMissing(missing))
 	}
+	if s.overloaded {
+		line.Float64("limit", s.limit)
+	}
 	if finish != nil && finish.Finish == anvilgather.FinishRefused {
 		line.Dur("retry-after-ms", finish.RetryAfter)
 	}
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -55,7 +55,7 @@
 		LoadKnown: r.leaf.LoadKnown,
 		Load:      r.leaf.Load,
 		ColdFor:   r.leaf.ColdFor,
-		Leaving:   r.leaf.Leaving && r.outcome != anvilbalance.OutcomeMisdirected,
+		Leaving:   r.leaf.Leaving && r.leaf.speaksFor(c.leaf),
 		Deferral:  deferral(r.leaf, r.status),
 	}, c)
 	g.config.Metrics.Add(anvilmetric.LeafCalls, 1, string(c.leaf.Service), c.kind.String(), r.outcome.String())
--- a/anvilgateway/leafs.go
+++ b/anvilgateway/leafs.go
@@ -170,7 +170,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	said = g.config.Protocol.DecodeReply(resp.StatusCode, resp.Header)
-	if said.Instance != "" && said.Instance != l.ID {
+	g.logUnreadable(said, resp.Header, "", l.ID)
+	if !said.speaksFor(l) {
 		return false, LeafReply{}, 0
 	}
 	return resp.StatusCode == http.StatusOK, said, resp.StatusCode
--- a/anvilgateway/notice.go
+++ b/anvilgateway/notice.go
@@ -18,6 +18,12 @@
 	return said.RetryAfter
 }
 
+// speaksFor reports whether what a reply says of its leaf is about the one that was
+// called, and not about another one that has the address now.
+func (r LeafReply) speaksFor(l anvilbalance.Leaf) bool {
+	return !r.Misdirected && (r.Instance == "" || r.Instance == l.ID)
+}
+
 // declines reports whether the leaf has said that it wants no calls now.
 func (g *Gateway) declines(l anvilbalance.Leaf) bool {
 	g.balancing.Lock()
--- a/anvilgather/fleet_test.go
+++ b/anvilgather/fleet_test.go
@@ -272,12 +272,13 @@
 	}
 	q.done = func(a anvilgather.Action) {
 		if !f.policy.unlimited {
-			half, _ := q.request.Half(f.now)
+			half, in := q.request.Half(f.now)
 			n.limiter.Done(anvilgather.Ended{
 				Route:   f.route.Name,
 				Target:  f.route.Target,
 				Started: arrived,
 				Half:    half,
+				In:      in,
 				Shed:    a.Finish != anvilgather.FinishAnswered && a.Cause == anvilgather.CauseShed,
 			}, f.now)
 		}
--- a/anvilgather/limiter.go
+++ b/anvilgather/limiter.go
@@ -112,10 +112,9 @@
 	// Started is when the query was admitted.
 	Started time.Time
 	// Half is the time until half of its parts were in, or until its end if they never
-	// were.
+	// were, which In says.
 	Half time.Duration
-	// Unknown says that the caller left before half of the parts were in.
-	Unknown bool
+	In   bool
 	// Shed says that the query failed because leafs shed its calls.
 	Shed bool
 }
@@ -124,14 +123,14 @@
 func (l *Limiter) Done(e Ended, now time.Time) {
 	used := float64(l.running) >= usedShare*l.limit
 	l.running--
-	late := !e.Unknown && e.Half > l.due(e.Route, e.Target)
-	if !e.Unknown && !e.Shed {
+	late := e.Half > l.due(e.Route, e.Target)
+	if e.In {
 		l.learn(e.Route, e.Half)
 	}
 	switch {
 	case e.Shed || late:
 		l.cut(e.Started, now)
-	case used && !e.Unknown:
+	case used && e.In:
 		l.limit = min(l.limit+1/l.limit, mostLimit)
 	}
 }
@@ -169,5 +168,9 @@
 // RetryAfter returns when a caller that is refused should come back. The draw, from 0 to
 // 1, spreads the callers.
 func (l *Limiter) RetryAfter(now time.Time, draw float64) time.Duration {
-	return ReturnAfter(now.Sub(l.overloadedAt), draw)
+	lasted := time.Duration(0)
+	if l.Overloaded(now) {
+		lasted = now.Sub(l.overloadedAt)
+	}
+	return ReturnAfter(lasted, draw)
 }
--- a/anvilgather/limiter_test.go
+++ b/anvilgather/limiter_test.go
@@ -46,6 +46,7 @@
 					Target:  200 * time.Millisecond,
 					Started: q.begun,
 					Half:    wasted,
+					In:      true,
 					Shed:    !q.ok,
 				}, now)
 			}
@@ -116,3 +117,53 @@
 		t.Errorf("%d lesser queries run under a limit of %.0f and an urgent one is refused", n, l.Limit())
 	}
 }
+
+// Pattern: leafs queue for longer than queries can wait, and shed nothing. Guards against
+// a limit that does not fall although no query is in time, and against one that falls
+// with each query that was under way when it fell.
+func TestLateHalvesCutTheLimitOnce(t *testing.T) {
+	l := anvilgather.NewLimiter()
+	const queries = 20
+	for range queries {
+		l.Admit(asked(0))
+	}
+	now := start.Add(150 * time.Millisecond)
+	for range queries {
+		l.Done(anvilgather.Ended{
+			Route:   "r",
+			Target:  200 * time.Millisecond,
+			Started: start,
+			Half:    120 * time.Millisecond,
+			In:      true,
+		}, now)
+	}
+	if l.Limit() >= queries || l.Limit() < queries/2 {
+		t.Errorf("the limit is %.1f after %d late queries that ran together", l.Limit(), queries)
+	}
+	if !l.Overloaded(now) || l.Overloaded(now.Add(time.Minute)) {
+		t.Errorf("overloaded now: %t, a minute later: %t", l.Overloaded(now), l.Overloaded(now.Add(time.Minute)))
+	}
+}
+
+// Guards against queries that fail at once, for want of leafs, and are taken for ones
+// that the leafs answered quickly.
+func TestQuickFailuresSayNothing(t *testing.T) {
+	l := anvilgather.NewLimiter()
+	before := l.Limit()
+	for range 50 {
+		l.Admit(asked(0))
+	}
+	for range 50 {
+		l.Done(anvilgather.Ended{
+			Route:   "r",
+			Target:  200 * time.Millisecond,
+			Started: start,
+		}, start)
+	}
+	if l.Limit() != before {
+		t.Errorf("the limit went from %.1f to %.1f", before, l.Limit())
+	}
+	if after := l.RetryAfter(start, 0.5); after > 200*time.Millisecond {
+		t.Errorf("without overload callers come back after %s", after)
+	}
+}
