--- a/anvilgather/fleet_test.go
+++ b/anvilgather/fleet_test.go
@@ -96,12 +96,14 @@
 
 type fleet struct {
 	load
-	random  *rand.Rand
-	now     time.Time
-	events  events
-	order   int
-	nodes   []*modelNode
-	leafs   map[anvilmodel.LeafName]*modelLeaf
+	random *rand.Rand
+	now    time.Time
+	events events
+	order  int
+	nodes  []*modelNode
+	leafs  map[anvilmodel.LeafName]*modelLeaf
+	// listed are the leafs in a fixed order, so that a seed plays the same each time.
+	listed  []anvilbalance.Leaf
 	seconds []second
 	calls   map[anvilbalance.CallKind]int
 }
@@ -161,6 +163,7 @@
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i), byte(k)}), 80),
 				Slots:   l.slots,
 			}
+			f.listed = append(f.listed, leaf)
 			f.leafs[leaf.ID] = &modelLeaf{
 				leaf:      leaf,
 				wantsNone: make(map[*modelNode]window),
@@ -178,8 +181,8 @@
 		}
 		n.balancer.SetNodes(l.nodes)
 		n.balancer.SetServices(services)
-		for _, leaf := range f.leafs {
-			n.balancer.SetLeaf(leaf.leaf, start)
+		for _, leaf := range f.listed {
+			n.balancer.SetLeaf(leaf, start)
 		}
 		f.nodes = append(f.nodes, n)
 	}
