Name a withdrawn call deferred, not lost

causeOf took a call that was withdrawn because its leaf wants no calls for one whose connection was lost; only the cause in logs and refusals changes.

--- a/anvilgather/action.go
+++ b/anvilgather/action.go
@@ -109,6 +109,8 @@
 		return CauseShed
 	case anvilbalance.OutcomeFailed:
 		return CauseLeafFailed
+	case anvilbalance.OutcomeWithdrawn:
+		return CauseDeferred
 	case anvilbalance.OutcomeTimeout, anvilbalance.OutcomeAbandoned:
 		return CauseTimeout
 	default:
