Read what a leaf says of itself in one place, and the caller's time once

TestReplyOfAnotherLeafDefersNothing fails with the check taken out (status 503). What follows a notice (log lines, telling other nodes) stood twice.

--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -45,6 +45,7 @@
 	headerParts     = "Test-Parts"
 	headerRetry     = "Test-Retry-After"
 	headerLeaving   = "Test-Leaving"
+	headerInstance  = "Test-Instance"
 )
 
 func protocol() anvilgateway.Protocol {
@@ -72,6 +73,7 @@
 				NotRun:      h.Get(headerNotRun) != "",
 				Misdirected: status == http.StatusMisdirectedRequest,
 				Leaving:     h.Get(headerLeaving) != "",
+				Instance:    anvilmodel.LeafName(h.Get(headerInstance)),
 				RetryAfter:  retry,
 			}
 		},
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -55,14 +55,16 @@
 	s.run(r)
 }
 
-// admit refuses a query that its leafs cannot take, as far as is known.
+// admit reads how much of the caller's time has passed, and refuses a query that its
+// leafs cannot take, as far as is known.
 func (s *served) admit() *refusal {
-	if !s.route.FansOut() {
-		return nil
-	}
 	g := s.gateway
 	g.balancing.Lock()
 	defer g.balancing.Unlock()
+	s.elapsed, s.transit = g.clock.Observe(s.route.Name, s.stated, s.opened, s.arrived)
+	if !s.route.FansOut() {
+		return nil
+	}
 	// Routes over the same shards share a limiter.
 	key := s.route.Shards[0]
 	s.limiter = g.limiters[key]
@@ -70,7 +72,6 @@
 		s.limiter = anvilgather.NewLimiter()
 		g.limiters[key] = s.limiter
 	}
-	s.elapsed, s.transit = g.clock.Observe(s.route.Name, s.stated, s.opened, s.arrived)
 	s.limit = s.limiter.Limit()
 	if s.limiter.Admit(anvilgather.Asked{
 		Route:    s.route.Name,
@@ -215,9 +216,6 @@
 		g.balancer.CountRequest(name, now)
 	}
 	s.hedgeDelay = g.balancer.HedgeDelay(s.route.Name, s.route.Target, len(services))
-	if !s.route.FansOut() {
-		s.elapsed, s.transit = g.clock.Observe(s.route.Name, s.stated, s.opened, now)
-	}
 	return services
 }
 
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -47,6 +47,7 @@
 	start := time.Now()
 	r := g.call(ctx, s.out, c.leaf, c.deadline)
 	elapsed := time.Since(start)
+	leaving, deferral := r.leaf.notices(c.leaf, r.status)
 	g.finishCall(anvilbalance.Result{
 		Leaf:      c.leaf,
 		Route:     s.route.Name,
@@ -55,8 +56,8 @@
 		LoadKnown: r.leaf.LoadKnown,
 		Load:      r.leaf.Load,
 		ColdFor:   r.leaf.ColdFor,
-		Leaving:   r.leaf.Leaving && r.leaf.speaksFor(c.leaf),
-		Deferral:  deferral(r.leaf, r.status),
+		Leaving:   leaving,
+		Deferral:  deferral,
 	}, c)
 	g.config.Metrics.Add(anvilmetric.LeafCalls, 1, string(c.leaf.Service), c.kind.String(), r.outcome.String())
 	if r.outcome != anvilbalance.OutcomeGood && r.outcome != anvilbalance.OutcomeAbandoned {
--- a/anvilgateway/notice.go
+++ b/anvilgateway/notice.go
@@ -8,22 +8,26 @@
 	"anvilbridge/anvilmodel"
 )
 
-// deferral returns how long the leaf wants no calls of this node. Only the status that
-// says that the leaf is out of service speaks for more than the one call: one of
-// StatusTooManyRequests turns away this call, and others may be taken.
-func deferral(said LeafReply, status int) time.Duration {
-	if status != http.StatusServiceUnavailable {
-		return 0
-	}
-	return said.RetryAfter
-}
-
 // speaksFor reports whether what a reply says of its leaf is about the one that was
 // called, and not about another one that has the address now.
 func (r LeafReply) speaksFor(l anvilbalance.Leaf) bool {
 	return !r.Misdirected && (r.Instance == "" || r.Instance == l.ID)
 }
 
+// notices returns whether the leaf that was called leaves, and how long it wants no calls
+// of this node. Only the status that says that the leaf is out of service speaks for more
+// than the one call: one of StatusTooManyRequests turns away this call, and others may be
+// taken.
+func (r LeafReply) notices(l anvilbalance.Leaf, status int) (leaving bool, deferral time.Duration) {
+	if !r.speaksFor(l) {
+		return false, 0
+	}
+	if status == http.StatusServiceUnavailable {
+		deferral = r.RetryAfter
+	}
+	return r.Leaving, deferral
+}
+
 // declines reports whether the leaf has said that it wants no calls now.
 func (g *Gateway) declines(l anvilbalance.Leaf) bool {
 	g.balancing.Lock()
@@ -42,32 +46,33 @@
 			Str("service", string(r.Leaf.Service)).Str("last-outcome", r.Outcome.String()).
 			Dur("elapsed-ms", r.Elapsed).Send()
 	}
-	if effect.Departed {
-		g.logDeparture(r.Leaf.ID, "reply")
-		g.copies.Leafs.Announce()
-	}
-	if effect.Deferral > 0 {
-		g.logDeferral(r.Leaf, r.Deferral, effect.Deferral)
-	}
+	g.tellNotices(r.Leaf, "reply", effect.Departed, r.Deferral, effect.Deferral)
 }
 
 // noteHealth takes over what a leaf says of itself in the reply to a health check.
 func (g *Gateway) noteHealth(l anvilbalance.Leaf, said LeafReply, status int) {
-	wanted := deferral(said, status)
+	leaving, wanted := said.notices(l, status)
 	g.balancing.Lock()
 	now := time.Now()
 	applied := g.balancer.Defer(l, wanted, now)
-	departed := said.Leaving && g.balancer.Depart(anvilmodel.Departure{
+	departed := leaving && g.balancer.Depart(anvilmodel.Departure{
 		Leaf:    l.ID,
 		Started: l.Started,
 	}, now)
 	g.balancing.Unlock()
+	g.tellNotices(l, "health check", departed, wanted, applied)
+}
+
+// tellNotices logs what a leaf has said of itself and tells other nodes of a departure.
+// The leaf wanted no calls for a time, of which some is applied.
+func (g *Gateway) tellNotices(l anvilbalance.Leaf, source string, departed bool, wanted, applied time.Duration) {
 	if departed {
-		g.logDeparture(l.ID, "health check")
+		g.logDeparture(l.ID, source)
 		g.copies.Leafs.Announce()
 	}
 	if applied > 0 {
-		g.logDeferral(l, wanted, applied)
+		g.config.Log.Info().Str("event", "leaf-deferred").Str("leaf", string(l.ID)).
+			Str("service", string(l.Service)).Dur("wanted-ms", wanted).Dur("applied-ms", applied).Send()
 	}
 }
 
@@ -99,8 +104,3 @@
 func (g *Gateway) logDeparture(id anvilmodel.LeafName, source string) {
 	g.config.Log.Info().Str("event", "leaf-leaving").Str("leaf", string(id)).Str("source", source).Send()
 }
-
-func (g *Gateway) logDeferral(l anvilbalance.Leaf, wanted, applied time.Duration) {
-	g.config.Log.Info().Str("event", "leaf-deferred").Str("leaf", string(l.ID)).
-		Str("service", string(l.Service)).Dur("wanted-ms", wanted).Dur("applied-ms", applied).Send()
-}
--- a/anvilgateway/notice_test.go
+++ b/anvilgateway/notice_test.go
@@ -218,3 +218,31 @@
 		return err == nil && got.status == http.StatusOK
 	})
 }
+
+// Guards against the word of a leaf that names itself as another one and wants no calls,
+// which is taken for that of the leaf that was called.
+func TestReplyOfAnotherLeafDefersNothing(t *testing.T) {
+	s := newStore()
+	var first atomic.Bool
+	first.Store(true)
+	s.register(startLeaf(t, "a1", "a", func(w http.ResponseWriter, r *http.Request) {
+		if first.Swap(false) {
+			w.Header().Set(headerID, r.Header.Get(headerID))
+			w.Header().Set(headerInstance, "a2")
+			w.Header().Set(headerNotRun, "1")
+			w.Header().Set(headerRetry, time.Hour.String())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		goodLeaf("a1", "done")(w, r)
+	}))
+	s.configure(oneRoute(single("get", "/get/", "a", false)))
+	g := startReady(t, s)
+	if _, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-1"); err != nil {
+		t.Fatal(err)
+	}
+	got, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-2")
+	if err != nil || got.status != http.StatusOK {
+		t.Errorf("the next request has status %d, %v", got.status, err)
+	}
+}
