--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -75,6 +75,9 @@
 	leaving bool
 	// deferredUntil is when the leaf accepts calls again.
 	deferredUntil time.Time
+	limit         announcedLimit
+	// calls counts the requests to the leaf since the last LimitReport.
+	calls CallCounts
 	// graceEnd is the time until which a leaf without an entry may still be used; zero
 	// if it has an entry.
 	graceEnd time.Time
@@ -228,6 +231,7 @@
 		return Leaf{}, status
 	}
 	best.inFlight++
+	best.calls.add(r.Kind)
 	if now.Before(best.coldUntil) {
 		best.coldCalls++
 	}
@@ -325,6 +329,9 @@
 			StartedAt: r.Leaf.StartedAt,
 		}, now)
 	}
+	if r.RateLimitKnown {
+		changes.RateLimitChanged = b.RecordRateLimit(r.Leaf, r.RateLimit, now)
+	}
 	state.decay(now)
 	switch r.Outcome {
 	case OutcomeGood:
@@ -413,6 +420,7 @@
 		}
 		if l.ejected && l.usable(b, now) && !l.deferred(now) && !now.Before(l.nextCheckAt) {
 			l.nextCheckAt = now.Add(maxBackoff)
+			l.calls.HealthChecks++
 			due = append(due, l.leaf)
 		}
 	}
--- a/anvilbalance/outcome.go
+++ b/anvilbalance/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilroute"
 )
 
@@ -75,6 +76,9 @@
 	// Deferral is the time for which the leaf announced that it accepts no calls; 0
 	// if it did not.
 	Deferral time.Duration
+	// RateLimitKnown is set if the leaf replied, and RateLimit is what it announced.
+	RateLimitKnown bool
+	RateLimit      anvilmodel.RateLimit
 }
 
 // LeafChanges describes how the result of a call changed the state of its leaf.
@@ -86,4 +90,6 @@
 	// Deferral is how long the leaf gets no calls at its own request; 0 if it made no
 	// such request.
 	Deferral time.Duration
+	// RateLimitChanged is set if the leaf announced another rate limit than before.
+	RateLimitChanged bool
 }
--- a/anvilgateway/config.go
+++ b/anvilgateway/config.go
@@ -46,6 +46,10 @@
 	// RetryAfter is the delay after which the leaf may be called again; 0 if it is not
 	// stated.
 	RetryAfter time.Duration
+	// RateLimitKnown is set if the leaf's announcement could be read. RateLimit is how many
+	// requests it accepts from all nodes together.
+	RateLimitKnown bool
+	RateLimit      anvilmodel.RateLimit
 	// InvalidHeader is the name of a header that could not be parsed and is treated as
 	// absent; empty if there is none.
 	InvalidHeader string
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -46,6 +46,7 @@
 	headerRetry     = "Test-Retry-After"
 	headerLeaving   = "Test-Leaving"
 	headerInstance  = "Test-Instance"
+	headerRateLimit = "Test-Rate-Limit"
 )
 
 func protocol() anvilgateway.Protocol {
@@ -67,14 +68,20 @@
 		},
 		DecodeReply: func(status int, h http.Header) anvilgateway.LeafReply {
 			retry, _ := time.ParseDuration(h.Get(headerRetry))
+			perSecond, err := strconv.ParseFloat(h.Get(headerRateLimit), 64)
 			return anvilgateway.LeafReply{
-				RequestID:   h.Get(headerID),
-				Signature:   h.Get(headerSignature),
-				NotRun:      h.Get(headerNotRun) != "",
-				Misdirected: status == http.StatusMisdirectedRequest,
-				Leaving:     h.Get(headerLeaving) != "",
-				Leaf:        anvilmodel.LeafName(h.Get(headerInstance)),
-				RetryAfter:  retry,
+				RequestID:      h.Get(headerID),
+				Signature:      h.Get(headerSignature),
+				NotRun:         h.Get(headerNotRun) != "",
+				Misdirected:    status == http.StatusMisdirectedRequest,
+				Leaving:        h.Get(headerLeaving) != "",
+				Leaf:           anvilmodel.LeafName(h.Get(headerInstance)),
+				RetryAfter:     retry,
+				RateLimitKnown: true,
+				RateLimit: anvilmodel.RateLimit{
+					Limited:   err == nil,
+					PerSecond: perSecond,
+				},
 			}
 		},
 		EncodeMergedHeaders: func(h http.Header, signatures []string, missing int) {
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -41,6 +41,9 @@
 	roundsPerUpdate = 20
 	// roundsPerFleetUpdate is the number of rounds per update of the fleet size.
 	roundsPerFleetUpdate = 4
+	// roundsPerLimitReport is the number of rounds per report of the calls to leaves with a
+	// rate limit.
+	roundsPerLimitReport = 100
 )
 
 // Gateway is a running node.
@@ -278,6 +281,9 @@
 			g.maintainPools(now)
 			g.updateMetrics()
 		}
+		if round%roundsPerLimitReport == 0 {
+			g.reportRateLimits(now)
+		}
 	}
 }
 
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -48,16 +48,19 @@
 	r := g.call(ctx, s.outbound, c.leaf, c.deadline)
 	elapsed := time.Since(start)
 	leaving, deferral := r.reply.availability(c.leaf, r.status)
+	limit, limitKnown := r.reply.rateLimit(c.leaf)
 	g.recordCallResult(anvilbalance.CallResult{
-		Leaf:      c.leaf,
-		Route:     s.route.Name,
-		Outcome:   r.outcome,
-		Elapsed:   elapsed,
-		LoadKnown: r.reply.LoadKnown,
-		Load:      r.reply.Load,
-		ColdFor:   r.reply.ColdFor,
-		Leaving:   leaving,
-		Deferral:  deferral,
+		Leaf:           c.leaf,
+		Route:          s.route.Name,
+		Outcome:        r.outcome,
+		Elapsed:        elapsed,
+		LoadKnown:      r.reply.LoadKnown,
+		Load:           r.reply.Load,
+		ColdFor:        r.reply.ColdFor,
+		Leaving:        leaving,
+		Deferral:       deferral,
+		RateLimitKnown: limitKnown,
+		RateLimit:      limit,
 	}, c)
 	g.config.Metrics.Add(anvilmetric.LeafCalls, 1, string(c.leaf.Service), c.kind.String(), r.outcome.String())
 	if r.outcome != anvilbalance.OutcomeGood && r.outcome != anvilbalance.OutcomeAbandoned {
--- a/anvilgateway/notice.go
+++ b/anvilgateway/notice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmodel"
 )
 
@@ -28,6 +29,12 @@
 	return r.Leaving, deferral
 }
 
+// rateLimit returns the rate limit of the leaf that was called. known is false if the reply
+// does not tell.
+func (r LeafReply) rateLimit(l anvilbalance.Leaf) (limit anvilmodel.RateLimit, known bool) {
+	return r.RateLimit, r.RateLimitKnown && r.isFrom(l)
+}
+
 // declinesCalls reports whether the leaf has announced that it currently accepts no
 // calls.
 func (g *Gateway) declinesCalls(l anvilbalance.Leaf) bool {
@@ -48,12 +55,16 @@
 			Dur("elapsed-ms", r.Elapsed).Send()
 	}
 	g.reportAvailability(r.Leaf, "reply", changes.NewDeparture, r.Deferral, changes.Deferral)
+	if changes.RateLimitChanged {
+		g.logRateLimit(r.Leaf.Name, r.RateLimit, "reply")
+	}
 }
 
 // recordHealthReply applies what a leaf states about itself in the reply to a health
 // check.
 func (g *Gateway) recordHealthReply(l anvilbalance.Leaf, reply LeafReply, status int) {
 	leaving, requested := reply.availability(l, status)
+	limit, limitKnown := reply.rateLimit(l)
 	g.balancerMu.Lock()
 	now := time.Now()
 	applied := g.balancer.DeferCalls(l, requested, now)
@@ -61,8 +72,12 @@
 		Leaf:      l.Name,
 		StartedAt: l.StartedAt,
 	}, now)
+	limitChanged := limitKnown && g.balancer.RecordRateLimit(l, limit, now)
 	g.balancerMu.Unlock()
 	g.reportAvailability(l, "health check", departed, requested, applied)
+	if limitChanged {
+		g.logRateLimit(l.Name, limit, "health check")
+	}
 }
 
 // reportAvailability logs the announcements of a leaf and notifies other nodes of its
@@ -104,6 +119,26 @@
 	return len(added) > 0
 }
 
+// logRateLimit logs a change of the rate limit that a leaf announces.
+func (g *Gateway) logRateLimit(leaf anvilmodel.LeafName, limit anvilmodel.RateLimit, source string) {
+	g.config.Log.Info().Str("event", "leaf-rate-limit").Str("leaf", string(leaf)).Str("source", source).
+		Bool("limited", limit.Limited).Float64("per-second", limit.PerSecond).Send()
+}
+
+// reportRateLimits logs this node's calls to the leaves that announce a rate limit.
+func (g *Gateway) reportRateLimits(now time.Time) {
+	g.balancerMu.Lock()
+	reports := g.balancer.LimitReports(now)
+	g.balancerMu.Unlock()
+	g.config.Metrics.Set(anvilmetric.LeavesLimited, float64(len(reports)))
+	for _, r := range reports {
+		g.config.Log.Info().Str("event", "leaf-rate-limit-calls").Str("leaf", string(r.Leaf.Name)).
+			Str("service", string(r.Leaf.Service)).Float64("per-second", r.Limit.PerSecond).Dur("age-ms", r.Age).
+			Int("first", r.Calls.First).Int("hedges", r.Calls.Hedges).Int("retries", r.Calls.Retries).
+			Int("health-checks", r.Calls.HealthChecks).Send()
+	}
+}
+
 func (g *Gateway) logDeparture(leaf anvilmodel.LeafName, source string) {
 	g.config.Log.Info().Str("event", "leaf-leaving").Str("leaf", string(leaf)).Str("source", source).Send()
 }
--- a/anvilmetric/definition.go
+++ b/anvilmetric/definition.go
@@ -131,6 +131,11 @@
 		Kind: KindGauge,
 		Help: "Leaves that a gateway knows from the platform's store.",
 	}
+	LeavesLimited = Definition{
+		Name: "leafs_rate_limited",
+		Kind: KindGauge,
+		Help: "Leaves that announce to a gateway a limit on the requests of all nodes together.",
+	}
 	LeafPausePeriod = Definition{
 		Name: "leaf_pause_period_seconds",
 		Kind: KindGauge,
@@ -166,6 +171,6 @@
 		LeafCalls, LeafCallDuration, LeavesCold, LeavesBreakerOpen, LeafQueueLength, LeafCallsInFlight,
 		RelayedCalls, RepliesDropped, ConfigRevision, Members,
 		PeerControlMessages, PeerControlBytes, AuditEvents, FailureDomainOut,
-		LeafHealthChecks, LeavesKnown, GatewaysKnown, LeafPausePeriod, StoreReads, ProcessorLoad,
+		LeafHealthChecks, LeavesKnown, LeavesLimited, GatewaysKnown, LeafPausePeriod, StoreReads, ProcessorLoad,
 	}
 }
