Keep to the rate limits of leaves over all nodes

Callers' operators saw leaves in need receive two and more times the requests that they announce. Cause: gateways did not read the announcement. The existing way of dividing a limit among the nodes, used for cold leaves, could not be extended to it: each node rounded its share up to one call per second, so that 26 nodes sent 26 calls to a cold leaf that is allowed 11.

Each node now divides announced limits and those of cold leaves in proportion to demand, the requests from callers that nodes announce with their probes. A token bucket per leaf holds first calls, hedges, retries and health checks to the share. A bucket smaller than one call lets only every so many attempts pass, with a random phase per node, so that shares below one call add up to the limit. Limited leaves get no hedges. A request for which all leaves are at their limit is refused at once, with the time of the next call as retry delay. A raised limit applies after 4 s.

--- a/anvilbalance/announcement.go
+++ b/anvilbalance/announcement.go
@@ -118,18 +118,23 @@
 }
 
 // ServiceDeferral returns the time until the first of the usable leaves of a service
-// accepts calls again; 0 if one accepts calls now, or if there is none.
+// accepts calls of this node again; 0 if one accepts calls now, or if there is none. The
+// wait for a rate limit is spread at random, because all requests that are refused in this
+// time wait for the same call.
 func (b *Balancer) ServiceDeferral(name anvilmodel.ServiceName, now time.Time) time.Duration {
 	var shortest time.Duration
 	for _, l := range b.service(name).leaves {
-		switch {
-		case !l.usable(b, now):
-		case !l.deferred(now):
+		if !l.usable(b, now) {
+			continue
+		}
+		rateLimitWait := b.rateLimitWait(l, now)
+		rateLimitWait += time.Duration(b.config.Random.Float64() * float64(rateLimitWait))
+		wait := max(l.deferredUntil.Sub(now), rateLimitWait)
+		if wait <= 0 {
 			return 0
-		default:
-			if remaining := l.deferredUntil.Sub(now); shortest == 0 || remaining < shortest {
-				shortest = remaining
-			}
+		}
+		if shortest == 0 || wait < shortest {
+			shortest = wait
 		}
 	}
 	return shortest
--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -68,7 +68,8 @@
 	// RetryWindow is the time over which requests and extra calls are counted.
 	RetryWindow time.Duration
 	// ColdFactor and ColdSlack limit the requests that all nodes together send to a
-	// cold leaf within a second: its rate times the factor, plus the slack.
+	// cold leaf within a second: its rate times the factor, plus the slack. The rate is
+	// the average; the rest is for calls that are made at once.
 	ColdFactor float64
 	ColdSlack  float64
 	// HedgeQuantile is the latency quantile, from 0 to 1, after which a call of a
@@ -79,8 +80,10 @@
 // Balancer holds a node's state of the leaves and selects leaves for calls. It is not safe
 // for concurrent use.
 type Balancer struct {
-	config          Config
-	nodeCount       int
+	config    Config
+	nodeCount int
+	// share is the part of the rate limits of leaves that this node may use.
+	share           float64
 	leaves          map[anvilmodel.LeafName]*leafState
 	services        map[anvilmodel.ServiceName]*serviceState
 	routeLatencies  map[anvilroute.Name]*latencyHistogram
@@ -107,12 +110,16 @@
 	if c.RetryWindow <= 0 {
 		c.RetryWindow = DefaultRetryWindow
 	}
+	if c.ColdFactor <= 0 {
+		c.ColdFactor = 1
+	}
 	if c.HedgeQuantile <= 0 {
 		c.HedgeQuantile = DefaultHedgeQuantile
 	}
 	return &Balancer{
 		config:          c,
 		nodeCount:       1,
+		share:           1,
 		leaves:          make(map[anvilmodel.LeafName]*leafState),
 		services:        make(map[anvilmodel.ServiceName]*serviceState),
 		routeLatencies:  make(map[anvilroute.Name]*latencyHistogram),
@@ -126,6 +133,12 @@
 	b.nodeCount = max(n, 1)
 }
 
+// SetShare sets the part of the rate limits of leaves that this node may use, above 0 and at
+// most 1.
+func (b *Balancer) SetShare(share float64) {
+	b.share = share
+}
+
 // SetServices replaces the settings of all services. Services that are not in the map
 // get empty settings.
 func (b *Balancer) SetServices(services map[anvilmodel.ServiceName]anvilroute.Service) {
--- a/anvilbalance/balance_test.go
+++ b/anvilbalance/balance_test.go
@@ -20,7 +20,9 @@
 
 // newBalancer returns a balancer with leaves "a", "b" and so on of one service "s".
 func newBalancer(c anvilbalance.Config, service anvilroute.Service, leaves int) *anvilbalance.Balancer {
-	c.Random = rand.New(rand.NewPCG(seed, 0))
+	if c.Random == nil {
+		c.Random = rand.New(rand.NewPCG(seed, 0))
+	}
 	b := anvilbalance.New(c)
 	service.Name = "s"
 	b.SetServices(map[anvilmodel.ServiceName]anvilroute.Service{"s": service})
@@ -273,18 +275,36 @@
 }
 
 // Guards against a cold leaf that gets more calls from all nodes within a second than
-// its rate times the factor, plus the slack.
+// its rate times the factor, plus the slack, also if the rate is below one call per second
+// and node.
 func TestColdRateOverAllNodes(t *testing.T) {
-	const nodes, rate, factor, slack = 4, 20.0, 1.5, 5.0
+	for _, c := range []struct {
+		nodes int
+		rate  float64
+	}{
+		{nodes: 4, rate: 20},
+		{nodes: 4, rate: 1},
+		{nodes: 26, rate: 4},
+		{nodes: 117, rate: 4},
+		{nodes: 410, rate: 20},
+	} {
+		t.Run(fmt.Sprintf("%d-nodes-%g-per-second", c.nodes, c.rate), func(t *testing.T) { testColdRate(t, c.nodes, c.rate) })
+	}
+}
+
+func testColdRate(t *testing.T, nodes int, rate float64) {
+	t.Helper()
+	const factor, slack = 1.5, 5.0
 	var callTimes []time.Time
-	for range nodes {
+	for i := range nodes {
 		b := newBalancer(anvilbalance.Config{
+			Random:     rand.New(rand.NewPCG(seed, uint64(i))),
 			ColdFactor: factor,
 			ColdSlack:  slack,
 		}, anvilroute.Service{
 			MaxColdRate: rate,
 		}, 0)
-		b.SetNodeCount(nodes)
+		b.SetShare(1 / float64(nodes))
 		coldLeaf := testLeaf(0)
 		coldLeaf.ColdFor = 3 * time.Second
 		b.SetLeaf(coldLeaf, start)
--- a/anvilbalance/doc.go
+++ b/anvilbalance/doc.go
@@ -2,11 +2,14 @@
 // calls (hedges and retries) a node may make. It does no I/O, and callers pass in
 // the current time.
 //
-// Each node calls leaves directly and rates them by its own calls. The limits that
-// apply to all nodes together (connections, the request rate of cold leaves and the
-// slack of the retry budget) are divided by the number of nodes. The part of the
-// retry budget that is proportional to requests needs no division, because each
-// node derives it from its own requests.
+// Each node calls leaves directly and rates them by its own calls. Limits that apply
+// to all nodes together are divided among them without coordination:
+//   - The request rates that leaves announce, and those of cold leaves, are divided in
+//     proportion to the nodes' demand. Every request counts: first calls, hedges,
+//     retries and health checks. A share may be below one call per second.
+//   - Connections and the slack of the retry budget are divided by the number of nodes.
+//   - The part of the retry budget that is proportional to requests needs no division,
+//     because each node derives it from its own requests.
 //
 // A leaf's cost is its latency relative to the other leaves of the same route,
 // multiplied by factors for its load, its failures and its overdue calls. The leaf
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -61,12 +61,9 @@
 	inFlight     int
 	overdueCalls int
 	// unanswered is the number of consecutive calls that got no answer.
-	unanswered int
-	avoidUntil time.Time
-	coldUntil  time.Time
-	// coldSecond is the second of the clock in which coldCalls are counted.
-	coldSecond  int64
-	coldCalls   int
+	unanswered  int
+	avoidUntil  time.Time
+	coldUntil   time.Time
 	ejected     bool
 	nextCheckAt time.Time
 	backoff     time.Duration
@@ -77,7 +74,8 @@
 	deferredUntil time.Time
 	limit         announcedLimit
 	// calls counts the requests to the leaf since the last LimitReport.
-	calls CallCounts
+	calls  CallCounts
+	bucket tokenBucket
 	// graceEnd is the time until which a leaf without an entry may still be used; zero
 	// if it has an entry.
 	graceEnd time.Time
@@ -150,13 +148,24 @@
 }
 
 // ServiceAvailable reports whether the service has a leaf that can be called, possibly
-// after a short wait because of its connection limit or its rate limit while cold.
+// after a short wait because of its connection limit.
 func (b *Balancer) ServiceAvailable(name anvilmodel.ServiceName, now time.Time) bool {
 	return slices.ContainsFunc(b.service(name).leaves, func(l *leafState) bool {
-		return !l.ejected && l.usable(b, now) && !l.deferred(now)
+		return l.callable(b, now) && b.attemptCall(l, now)
 	})
 }
 
+// ServiceReachable reports whether the service has a leaf that can be called now or when its
+// rate limit allows it.
+func (b *Balancer) ServiceReachable(name anvilmodel.ServiceName, now time.Time) bool {
+	return slices.ContainsFunc(b.service(name).leaves, func(l *leafState) bool { return l.callable(b, now) })
+}
+
+// callable reports whether the leaf can be called, apart from its rate limits.
+func (l *leafState) callable(b *Balancer, now time.Time) bool {
+	return !l.ejected && l.usable(b, now) && !l.deferred(now)
+}
+
 // PickStatus is the outcome of a Pick.
 type PickStatus int
 
@@ -166,9 +175,11 @@
 	PickOK PickStatus = iota
 	// PickNoLeaf means that the service has no leaf that can be called.
 	PickNoLeaf
-	// PickBusy means that every leaf that can be called is at its connection limit or,
-	// if cold, at its rate limit. Both conditions are short-lived.
+	// PickBusy means that every leaf that can be called is at its connection limit, which
+	// is a short-lived condition.
 	PickBusy
+	// PickRateLimited means that every leaf that can be called is at its rate limit.
+	PickRateLimited
 	// PickOverBudget means that the retry budget is exhausted.
 	PickOverBudget
 )
@@ -180,6 +191,8 @@
 		return "no-leaf"
 	case PickBusy:
 		return "leafs-busy"
+	case PickRateLimited:
+		return "rate-limit"
 	case PickOverBudget:
 		return "retry-budget"
 	default:
@@ -203,22 +216,44 @@
 	if !b.withinBudget(s, r.Kind, now) {
 		return Leaf{}, PickOverBudget
 	}
+	best, status := b.cheapestLeaf(s, r, now)
+	if best == nil {
+		return Leaf{}, status
+	}
+	b.countCall(best, now)
+	best.inFlight++
+	best.calls.add(r.Kind)
+	if r.Kind != CallFirst {
+		s.budget.extraCalls[s.budget.advance(now, b.config.RetryWindow)]++
+	}
+	return best.leaf, PickOK
+}
+
+// cheapestLeaf returns the leaf with the lowest cost among those that can be called. If
+// there is none, it returns the status of the Pick.
+func (b *Balancer) cheapestLeaf(s *serviceState, r PickRequest, now time.Time) (*leafState, PickStatus) {
 	connectionLimit := b.ConnectionLimit(r.Service)
-	status := PickNoLeaf
 	callTime := time.Duration(0)
 	if latency := b.routeLatencies[r.Route]; latency.reliable() {
 		callTime = latency.median
 	}
+	status := PickNoLeaf
 	var best *leafState
 	var bestCost float64
 	for _, l := range s.leaves {
-		if l.ejected || !l.usable(b, now) || l.deferred(now) || slices.Contains(r.Tried, l.leaf.Name) {
+		if !l.callable(b, now) || slices.Contains(r.Tried, l.leaf.Name) {
+			continue
+		}
+		if r.Kind == CallHedge && (l.queueFull() || b.isRateLimited(l, now)) {
 			continue
 		}
-		if r.Kind == CallHedge && l.queueFull() {
+		if !b.attemptCall(l, now) {
+			if status == PickNoLeaf {
+				status = PickRateLimited
+			}
 			continue
 		}
-		if l.inFlight >= connectionLimit || !b.withinColdRate(s, l, now) {
+		if l.inFlight >= connectionLimit {
 			status = PickBusy
 			continue
 		}
@@ -227,33 +262,7 @@
 			bestCost = cost
 		}
 	}
-	if best == nil {
-		return Leaf{}, status
-	}
-	best.inFlight++
-	best.calls.add(r.Kind)
-	if now.Before(best.coldUntil) {
-		best.coldCalls++
-	}
-	if r.Kind != CallFirst {
-		s.budget.extraCalls[s.budget.advance(now, b.config.RetryWindow)]++
-	}
-	return best.leaf, PickOK
-}
-
-// withinColdRate reports whether the leaf is not cold or may get one more call within
-// this second. The limit applies to any interval of one second, which may overlap two
-// seconds of the clock, so only half of it is used in each second of the clock.
-func (b *Balancer) withinColdRate(s *serviceState, l *leafState, now time.Time) bool {
-	if s.settings.MaxColdRate <= 0 || !now.Before(l.coldUntil) {
-		return true
-	}
-	if second := now.Unix(); l.coldSecond != second {
-		l.coldSecond = second
-		l.coldCalls = 0
-	}
-	limit := s.settings.MaxColdRate*b.config.ColdFactor + b.config.ColdSlack
-	return float64(l.coldCalls+1) <= max(1, limit/2/float64(b.nodeCount))
+	return best, status
 }
 
 // cost returns the cost of calling a leaf. callTime is the time that a call of the
@@ -418,7 +427,8 @@
 			b.deleteLeaf(l)
 			continue
 		}
-		if l.ejected && l.usable(b, now) && !l.deferred(now) && !now.Before(l.nextCheckAt) {
+		if l.ejected && l.usable(b, now) && !l.deferred(now) && !now.Before(l.nextCheckAt) && b.attemptCall(l, now) {
+			b.countCall(l, now)
 			l.nextCheckAt = now.Add(maxBackoff)
 			l.calls.HealthChecks++
 			due = append(due, l.leaf)
--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -1,16 +1,77 @@
 package anvilbalance
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"anvilbridge/anvilmodel"
 )
 
+const (
+	// minRateLimit is the least number of requests per second that all nodes together send
+	// to a leaf with a rate limit, because only a reply can tell that the limit has ended.
+	minRateLimit = 0.25
+	// burstTime and burstCalls give the number of calls that all nodes together may make at
+	// once to a leaf with a rate limit: those of burstTime, plus burstCalls.
+	burstTime  = 750 * time.Millisecond
+	burstCalls = 2
+	// partialCallRate is the part of its rate that a node uses if it makes its calls in
+	// parts. Such nodes complete their calls independently, so that the number of calls of
+	// all nodes varies.
+	partialCallRate = 0.8
+	// limitRaiseDelay is the time after which a higher limit applies. A leaf counts its
+	// requests over 4 s, and those of the lower limit must not be exceeded in any of them.
+	limitRaiseDelay = 4 * time.Second
+)
+
 // announcedLimit is the rate limit that a leaf announced last.
 type announcedLimit struct {
 	anvilmodel.RateLimit
 	// announcedAt is when the leaf sent the last announcement.
 	announcedAt time.Time
+	// lower holds earlier limits that are lower and still apply, the lowest first.
+	lower []supersededLimit
+}
+
+// supersededLimit is an earlier and lower limit.
+type supersededLimit struct {
+	perSecond float64
+	endedAt   time.Time
+}
+
+// update takes over an announcement and reports whether it differs from the last one.
+func (a *announcedLimit) update(limit anvilmodel.RateLimit, now time.Time) bool {
+	previous := a.RateLimit
+	a.RateLimit = limit
+	a.announcedAt = now
+	if limit == previous {
+		return false
+	}
+	if !limit.Limited {
+		a.lower = nil
+		return true
+	}
+	if previous.Limited {
+		a.lower = append(a.lower, supersededLimit{
+			perSecond: previous.PerSecond,
+			endedAt:   now,
+		})
+	}
+	a.lower = slices.DeleteFunc(a.lower, func(l supersededLimit) bool { return l.perSecond >= limit.PerSecond })
+	return true
+}
+
+// current returns the limit in force: the lowest that the leaf has announced within
+// limitRaiseDelay.
+func (a *announcedLimit) current(now time.Time) float64 {
+	for len(a.lower) > 0 && now.Sub(a.lower[0].endedAt) >= limitRaiseDelay {
+		a.lower = a.lower[1:]
+	}
+	if len(a.lower) > 0 {
+		return a.lower[0].perSecond
+	}
+	return a.PerSecond
 }
 
 // CallCounts counts the requests that this node has sent to a leaf.
@@ -19,6 +80,8 @@
 	Hedges       int
 	Retries      int
 	HealthChecks int
+	// Withheld is how often the leaf was passed over because of its rate limit.
+	Withheld int
 }
 
 func (c *CallCounts) add(kind CallKind) {
@@ -38,6 +101,8 @@
 	Limit anvilmodel.RateLimit
 	// Age is the time since the leaf last announced the limit.
 	Age time.Duration
+	// Share is the part of the limit that this node may use.
+	Share float64
 	// Calls are those since the last report.
 	Calls CallCounts
 }
@@ -49,17 +114,88 @@
 	if state == nil || !state.leaf.StartedAt.Equal(l.StartedAt) {
 		return false
 	}
-	changed := state.limit.RateLimit != limit
-	state.limit = announcedLimit{
-		RateLimit:   limit,
-		announcedAt: now,
-	}
+	wasLimited := state.limit.Limited
+	changed := state.limit.update(limit, now)
 	if changed {
 		state.calls = CallCounts{}
 	}
+	if !wasLimited {
+		state.bucket = b.newBucket(now)
+	}
 	return changed
 }
 
+// isRateLimited reports whether the leaf announces a rate limit or is cold.
+func (b *Balancer) isRateLimited(l *leafState, now time.Time) bool {
+	_, limited := b.callRate(l, now)
+	return limited
+}
+
+// callRate returns the rate at which this node may call a leaf; limited is false if there is
+// no limit. A cold leaf that also announces a limit gets the lower one.
+func (b *Balancer) callRate(l *leafState, now time.Time) (rate callRate, limited bool) {
+	rate = callRate{
+		perSecond: math.Inf(1),
+		burst:     math.Inf(1),
+	}
+	if l.limit.Limited {
+		rate.perSecond = max(l.limit.current(now), minRateLimit)
+		limited = true
+	}
+	if coldRate := b.service(l.leaf.Service).settings.MaxColdRate; coldRate > 0 && now.Before(l.coldUntil) {
+		maxPerSecond := coldRate*b.config.ColdFactor + b.config.ColdSlack
+		rate.perSecond = min(rate.perSecond, coldRate, maxPerSecond/2)
+		rate.burst = maxPerSecond / 8
+		limited = true
+	}
+	rate.burst = min(rate.burst, rate.perSecond*burstTime.Seconds()+burstCalls)
+	rate.perSecond *= b.share
+	rate.burst *= b.share
+	if rate.burst < 1 {
+		rate.perSecond *= partialCallRate
+	}
+	return rate, limited
+}
+
+// rateLimitWait returns the time until the rate limits of the leaf allow a call; 0 if they
+// allow one now.
+func (b *Balancer) rateLimitWait(l *leafState, now time.Time) time.Duration {
+	rate, limited := b.callRate(l, now)
+	if !limited {
+		return 0
+	}
+	if l.bucket.refilledAt.IsZero() {
+		l.bucket = b.newBucket(now)
+	}
+	l.bucket.refill(rate, now)
+	return l.bucket.wait(rate)
+}
+
+// newBucket returns an empty bucket.
+func (b *Balancer) newBucket(now time.Time) tokenBucket {
+	return tokenBucket{
+		refilledAt: now,
+		partial:    b.config.Random.Float64(),
+	}
+}
+
+// attemptCall reports whether the rate limits of the leaf allow a call now.
+func (b *Balancer) attemptCall(l *leafState, now time.Time) bool {
+	if b.rateLimitWait(l, now) == 0 {
+		return true
+	}
+	l.calls.Withheld++
+	rate, _ := b.callRate(l, now)
+	return l.bucket.attempt(rate)
+}
+
+// countCall counts a request that is sent to the leaf.
+func (b *Balancer) countCall(l *leafState, now time.Time) {
+	if rate, limited := b.callRate(l, now); limited {
+		l.bucket.take(rate)
+	}
+}
+
 // LimitReports returns a report for each leaf that announces a rate limit, and resets the
 // counts.
 func (b *Balancer) LimitReports(now time.Time) []LimitReport {
@@ -72,6 +208,7 @@
 			Leaf:  l.leaf,
 			Limit: l.limit.RateLimit,
 			Age:   now.Sub(l.limit.announcedAt),
+			Share: b.share,
 			Calls: l.calls,
 		})
 		l.calls = CallCounts{}
--- a/anvilgateway/directory.go
+++ b/anvilgateway/directory.go
@@ -40,20 +40,6 @@
 	}
 }
 
-// isIsolated reports whether at least half of the other nodes are suspected or dead. If
-// such a node does not reach enough shards either, it returns no addresses, so that
-// callers request them from another node. The caller must hold membersMu.
-func (g *Gateway) isIsolated() bool {
-	others := g.members.Members()[1:]
-	unreachable := 0
-	for _, m := range others {
-		if m.Status == anvilmodel.MemberDead || m.Status == anvilmodel.MemberSuspect {
-			unreachable++
-		}
-	}
-	return len(others) > 0 && unreachable*2 >= len(others)
-}
-
 // withAllServing returns a copy of the members in which all are marked as serving.
 func withAllServing(members []anvilmodel.Member) []anvilmodel.Member {
 	all := slices.Clone(members)
@@ -75,9 +61,10 @@
 		self.Status = anvilmodel.MemberAlive
 	}
 	members := anviladdress.Subset(g.members.Members(), g.subsetSize)
-	if len(members) == 0 && ready && !enoughShards && !g.isIsolated() {
+	if len(members) == 0 && ready && !enoughShards && !anvilmodel.IsIsolated(g.members.Members()[1:]) {
 		// No node reaches enough shards. Callers are still served best by the nodes that
-		// are alive.
+		// are alive. An isolated node returns no addresses, so that callers request them
+		// from another node.
 		self.Serving = true
 		members = withAllServing(g.members.Members())
 	}
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -48,6 +48,7 @@
 		s.refuse(refused)
 		return
 	}
+	g.requestCount.Add(1)
 	if refused := s.admit(); refused != nil {
 		s.refuse(refused)
 		return
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -61,14 +61,16 @@
 	// The locks are taken in the order membersMu, the lock of a follower, balancerMu,
 	// poolsMu. No lock is acquired while a later one is held.
 
-	// balancerMu guards balancer, splitter, elapsedEstimator, limiters, fleetSize and
-	// inSubset.
+	// balancerMu guards balancer, splitter, elapsedEstimator, limiters, fleetSize, demand,
+	// share and inSubset.
 	balancerMu       sync.Mutex
 	balancer         *anvilbalance.Balancer
 	splitter         *anvilroute.Splitter
 	elapsedEstimator *anvilgather.ElapsedEstimator
 	limiters         map[anvilmodel.ServiceName]*anvilgather.Limiter
 	fleetSize        anvilbalance.FleetSizeEstimator
+	demand           anvilbalance.DemandEstimator
+	share            anvilbalance.ShareEstimator
 	// inSubset is set if this node is in the subset of nodes to which callers are
 	// directed.
 	inSubset bool
@@ -92,6 +94,10 @@
 
 	inFlight    atomic.Int64
 	lastRequest atomic.Int64
+	// requestCount counts the requests of callers since the last update of the demand.
+	requestCount atomic.Int64
+	// requestRate is the demand in requests per second, as the bits of a float64.
+	requestRate atomic.Uint64
 	// enoughShards is set if this node reaches enough shards to be listed to callers.
 	enoughShards atomic.Bool
 	// shuttingDown is set by the signal to stop, and refusing when new requests are
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -102,7 +102,8 @@
 // updateSelfState passes the current state of this node to the membership.
 func (g *Gateway) updateSelfState() {
 	state := anvilmember.SelfState{
-		Load: g.load.value(),
+		Load:        g.load.value(),
+		RequestRate: math.Float64frombits(g.requestRate.Load()),
 		// Nodes with an older revision fetch this one.
 		ConfigRevision: g.followers.Configuration.LatestRevision(),
 		Serving:        g.table.Load() != nil && g.followers.Leaves.Loaded() && g.enoughShards.Load(),
@@ -118,8 +119,8 @@
 		Uint64("incarnation", uint64(e.Incarnation)).Str("cause", e.Cause).Send()
 }
 
-// updateFleetSize updates the number of nodes among which the balancer divides the limits
-// of the leaves, and the size of the subset of nodes to which callers are directed. A
+// updateFleetSize updates the share of the rate limits of leaves, the number of nodes among
+// which the balancer divides the other limits, and the size of the subset of nodes to which callers are directed. A
 // node of the subset counts the nodes of the subset, with a margin for the others. Any
 // other node counts the whole fleet.
 func (g *Gateway) updateFleetSize(now time.Time) {
@@ -129,6 +130,7 @@
 	subset := anviladdress.Subset(members, subsetSize)
 	name := g.members.Self().Name
 	g.membersMu.Unlock()
+	g.updateShare(members, now)
 	nodes := 0
 	load := 0.0
 	for i, m := range members {
@@ -149,7 +151,17 @@
 	g.membersMu.Unlock()
 }
 
-// divideLeafLimits divides the limits of the leaves among the nodes. It returns the
+// updateShare updates this node's demand and its share of the rate limits of leaves.
+func (g *Gateway) updateShare(members []anvilmodel.Member, now time.Time) {
+	g.balancerMu.Lock()
+	defer g.balancerMu.Unlock()
+	rate := g.demand.Update(g.requestCount.Swap(0), now)
+	g.requestRate.Store(math.Float64bits(rate))
+	g.share.Observe(members, now)
+	g.balancer.SetShare(g.share.Share())
+}
+
+// divideLeafLimits divides the connection limits of the leaves among the nodes. It returns the
 // largest number of nodes to which callers can be directed such that each still has
 // minConnectionsPerLeaf connections to a leaf, but at least minSubsetSize.
 func (g *Gateway) divideLeafLimits(nodes, subsetSize int, inSubset bool, now time.Time) int {
@@ -189,7 +201,7 @@
 func (g *Gateway) reachesMinCoverage(r *anvilroute.Route, now time.Time) bool {
 	available := 0
 	for _, name := range r.Shards {
-		if g.balancer.ServiceAvailable(name, now) {
+		if g.balancer.ServiceReachable(name, now) {
 			available++
 		}
 	}
--- a/anvilgateway/notice.go
+++ b/anvilgateway/notice.go
@@ -135,7 +135,7 @@
 		g.config.Log.Info().Str("event", "leaf-rate-limit-calls").Str("leaf", string(r.Leaf.Name)).
 			Str("service", string(r.Leaf.Service)).Float64("per-second", r.Limit.PerSecond).Dur("age-ms", r.Age).
 			Int("first", r.Calls.First).Int("hedges", r.Calls.Hedges).Int("retries", r.Calls.Retries).
-			Int("health-checks", r.Calls.HealthChecks).Send()
+			Int("health-checks", r.Calls.HealthChecks).Int("withheld", r.Calls.Withheld).Float64("share", r.Share).Send()
 	}
 }
 
--- a/anvilgather/action.go
+++ b/anvilgather/action.go
@@ -83,7 +83,7 @@
 	// CauseTimeout means that the request timed out.
 	CauseTimeout
 	// CauseDeferred means that all leaves of a service have announced that they
-	// accept no calls for some time.
+	// accept no calls for some time, or are at the rate limit that they announced.
 	CauseDeferred
 	// CauseShutdown means that the process is shutting down.
 	CauseShutdown
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -52,8 +52,8 @@
 	Overloaded bool
 	// Available reports whether a service has leaves that can be called.
 	Available func(name anvilmodel.ServiceName, now time.Time) bool
-	// Deferral returns the time until the first leaf of a service accepts calls again; 0 if
-	// one accepts calls now, or if there is none.
+	// Deferral returns the time until the first leaf of a service accepts calls of this node
+	// again; 0 if one accepts calls now, or if there is none.
 	Deferral func(name anvilmodel.ServiceName, now time.Time) time.Duration
 	// Pick chooses the leaf for a call.
 	Pick func(c anvilbalance.PickRequest, now time.Time) (anvilbalance.Leaf, anvilbalance.PickStatus)
@@ -362,7 +362,10 @@
 	if r.lastPickStatus == anvilbalance.PickNoLeaf && (cause == CauseNoLeaf || cause == CauseDeferred) {
 		delay = retryAfterUnavailable
 	}
-	return max(r.deferralDelay(delay, now), delay)
+	if wait := r.deferralDelay(delay, now); wait > 0 {
+		return wait
+	}
+	return delay
 }
 
 // deferralDelay returns the time until enough of the failed parts have leaves that accept
@@ -382,7 +385,10 @@
 		}
 		wait := r.config.Deferral(r.config.Services[i], now)
 		deferred = deferred || wait > 0
-		waits = append(waits, max(wait, fallback))
+		if wait == 0 {
+			wait = fallback
+		}
+		waits = append(waits, wait)
 	}
 	if !deferred {
 		return 0
--- a/anvilmember/config.go
+++ b/anvilmember/config.go
@@ -137,6 +137,8 @@
 type SelfState struct {
 	// Load is the fraction of the node's capacity in use; 0 means idle.
 	Load float64
+	// RequestRate is the number of requests per second from callers.
+	RequestRate float64
 	// ConfigRevision is the store revision of the configuration in use.
 	ConfigRevision uint64
 	Serving        bool
--- a/anvilmember/detail.go
+++ b/anvilmember/detail.go
@@ -53,6 +53,7 @@
 		update.Member.Slot = ""
 		update.Member.Serving = false
 		update.Member.Load = 0
+		update.Member.RequestRate = 0
 		update.Member.ConfigRevision = 0
 		update.Member.TicketEpoch = 0
 		update.Member.CPUCapacity = 0
--- a/anvilmember/membership.go
+++ b/anvilmember/membership.go
@@ -173,6 +173,7 @@
 	m.advanceTime(now, a)
 	member := &m.self.Member
 	member.Load = state.Load
+	member.RequestRate = state.RequestRate
 	member.ConfigRevision = state.ConfigRevision
 	member.Serving = state.Serving
 	member.TicketEpoch = state.TicketEpoch
--- a/anvilmember/merge.go
+++ b/anvilmember/merge.go
@@ -1,6 +1,7 @@
 package anvilmember
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -206,8 +207,8 @@
 	}
 }
 
-// mergeState takes over the load, configuration revision, serving flag and ticket epoch
-// if they are newer than the known ones.
+// mergeState takes over the load, request rate, configuration revision, serving flag and
+// ticket epoch if they are newer than the known ones.
 func (m *Membership) mergeState(r *record, update MemberUpdate, direct bool) {
 	if update.Version == 0 {
 		return
@@ -225,6 +226,10 @@
 	if !(member.Load >= 0) {
 		member.Load = 1
 	}
+	member.RequestRate = update.Member.RequestRate
+	if !(member.RequestRate >= 0) || math.IsInf(member.RequestRate, 1) {
+		member.RequestRate = 0
+	}
 	member.ConfigRevision = update.Member.ConfigRevision
 	member.TicketEpoch = update.Member.TicketEpoch
 	r.version = update.Version
--- a/anvilmember/size.go
+++ b/anvilmember/size.go
@@ -5,12 +5,15 @@
 	"net/netip"
 )
 
-// The functions in this file compute sizes of the protobuf encoding in anvilproto. All
-// its field numbers are below 16, so that each tag takes one byte.
+// The functions in this file compute sizes of the protobuf encoding in anvilproto. Tags of
+// field numbers below 16 take one byte, those of higher ones two.
 const (
 	tagBytes     = 1
+	longTagBytes = 2
 	boolBytes    = tagBytes + 1
 	fixed64Bytes = tagBytes + 8
+	// requestRateBytes is the size of a request rate, which is encoded in four bytes.
+	requestRateBytes = longTagBytes + 4
 	// addressBytes is the buffer size for a formatted address. An IPv6 address with zone
 	// and port is shorter.
 	addressBytes = 96
@@ -42,6 +45,9 @@
 	if member.Load != 0 {
 		size += fixed64Bytes
 	}
+	if member.RequestRate != 0 {
+		size += requestRateBytes
+	}
 	size += uintSize(member.ConfigRevision) + uintSize(uint64(member.RefutationCount)) + uintSize(uint64(member.CPUCapacity))
 	for _, w := range update.Witnesses {
 		size += lengthDelimitedSize(len(w))
--- a/anvilmodel/node.go
+++ b/anvilmodel/node.go
@@ -58,6 +58,8 @@
 	Serving bool
 	// Load is the share of the node's capacity in use, from 0.
 	Load float64
+	// RequestRate is the number of requests per second that the node receives from callers.
+	RequestRate float64
 	// ConfigRevision is the store revision of the configuration that the node uses.
 	ConfigRevision uint64
 	// TicketEpoch is the current ticket epoch of the node.
@@ -69,6 +71,18 @@
 	RefutationCount uint32
 }
 
+// IsIsolated reports whether at least half of the other members are suspected or dead, so
+// that rather the node with this view is partitioned.
+func IsIsolated(others []Member) bool {
+	unreachable := 0
+	for _, m := range others {
+		if m.Status == MemberDead || m.Status == MemberSuspect {
+			unreachable++
+		}
+	}
+	return len(others) > 0 && unreachable*2 >= len(others)
+}
+
 // CompareByHash orders VM names by their hash, so that the first names of a sorted list
 // are spread over the fleet. The order is the same on all nodes.
 func CompareByHash(a, b VMName) int {
--- a/anvilpeer/codec_test.go
+++ b/anvilpeer/codec_test.go
@@ -104,6 +104,7 @@
 			Status:          anvilmodel.MemberStatus(rapid.IntRange(0, 4).Draw(t, "status")),
 			Serving:         rapid.Bool().Draw(t, "serving"),
 			Load:            rapid.Float64Range(0, 2).Draw(t, "load"),
+			RequestRate:     float64(rapid.Float32Range(0, 1e6).Draw(t, "request rate")),
 			ConfigRevision:  rapid.Uint64().Draw(t, "revision"),
 			TicketEpoch:     rapid.Uint32().Draw(t, "epoch"),
 			RefutationCount: rapid.Uint32().Draw(t, "counter"),
