Pass the rate limits of leaves on to other nodes

A node that has not called a leaf in need, or has just started, sent it every request that arrived until the first reply. Nodes now pass announced limits, and their end, on to each other together with departures, with the age of the announcement, so that the latest counts. At most 32 limits go into a message, the latest changes first.

TestRateLimitIsPassedOn (two gateways) and TestRateLimitPassedOnByAnotherNode fail without it: 100 calls within 1 s to a leaf with a limit of 2 per second.

--- a/anvilbalance/announcement.go
+++ b/anvilbalance/announcement.go
@@ -18,8 +18,8 @@
 	// departureRetention is how long the departure of a leaf without an entry is kept,
 	// in case the entry reappears from an outdated copy.
 	departureRetention = 2 * time.Minute
-	// announceDuration is how long the departure of such a leaf is announced to other
-	// nodes.
+	// announceDuration is how long the departure of such a leaf, and the last rate limit of
+	// any leaf, are announced to other nodes.
 	announceDuration = 10 * time.Second
 	// maxDepartures limits the number of departures that are kept.
 	maxDepartures = 4096
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -458,13 +458,25 @@
 	return b.service(name).settings
 }
 
-// LeafCounts returns the number of known leaves and of ejected ones, for metrics.
-func (b *Balancer) LeafCounts() (known, ejected int) {
+// LeafCounts holds numbers of leaves for metrics.
+type LeafCounts struct {
+	Known   int
+	Ejected int
+	// RateLimited is the number of leaves that announce a rate limit.
+	RateLimited int
+}
+
+// LeafCounts returns the numbers of known leaves and of those in certain states.
+func (b *Balancer) LeafCounts() LeafCounts {
+	var counts LeafCounts
 	for _, l := range b.leaves {
-		known++
+		counts.Known++
 		if l.ejected {
-			ejected++
+			counts.Ejected++
+		}
+		if l.limit.Limited {
+			counts.RateLimited++
 		}
 	}
-	return known, ejected
+	return counts
 }
--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -1,6 +1,7 @@
 package anvilbalance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -20,6 +21,9 @@
 	// parts. Such nodes complete their calls independently, so that the number of calls of
 	// all nodes varies.
 	partialCallRate = 0.8
+	// maxAnnouncedLimits limits the rate limits that are passed on to other nodes at a time,
+	// so that they take at most about 1 KB of a message.
+	maxAnnouncedLimits = 32
 	// limitRaiseDelay is the time after which a higher limit applies. A leaf counts its
 	// requests over 4 s, and those of the lower limit must not be exceeded in any of them.
 	limitRaiseDelay = 4 * time.Second
@@ -28,8 +32,10 @@
 // announcedLimit is the rate limit that a leaf announced last.
 type announcedLimit struct {
 	anvilmodel.RateLimit
-	// announcedAt is when the leaf sent the last announcement.
+	// announcedAt is when the leaf sent the last announcement, and changedAt when it sent
+	// the first of the present limit.
 	announcedAt time.Time
+	changedAt   time.Time
 	// lower holds earlier limits that are lower and still apply, the lowest first.
 	lower []supersededLimit
 }
@@ -48,6 +54,7 @@
 	if limit == previous {
 		return false
 	}
+	a.changedAt = now
 	if !limit.Limited {
 		a.lower = nil
 		return true
@@ -114,8 +121,23 @@
 	if state == nil || !state.leaf.StartedAt.Equal(l.StartedAt) {
 		return false
 	}
+	return b.updateLimit(state, limit, now, now)
+}
+
+// MergeRateLimit records a rate limit that another node passed on, unless this node has a
+// later announcement of the leaf. It reports whether the limit has changed.
+func (b *Balancer) MergeRateLimit(n anvilmodel.RateLimitNotice, now time.Time) bool {
+	state := b.leaves[n.Leaf]
+	announcedAt := now.Add(-n.Age)
+	if state == nil || !state.leaf.StartedAt.Equal(n.StartedAt) || n.Age < 0 || !announcedAt.After(state.limit.announcedAt) {
+		return false
+	}
+	return b.updateLimit(state, n.RateLimit, announcedAt, now)
+}
+
+func (b *Balancer) updateLimit(state *leafState, limit anvilmodel.RateLimit, announcedAt, now time.Time) bool {
 	wasLimited := state.limit.Limited
-	changed := state.limit.update(limit, now)
+	changed := state.limit.update(limit, announcedAt)
 	if changed {
 		state.calls = CallCounts{}
 	}
@@ -125,6 +147,31 @@
 	return changed
 }
 
+// RateLimitsToAnnounce returns the rate limits to pass on to other nodes: those that leaves
+// announced or ended within announceDuration, the latest changes first.
+func (b *Balancer) RateLimitsToAnnounce(now time.Time) []anvilmodel.RateLimitNotice {
+	var recent []*leafState
+	for _, l := range b.leaves {
+		if !l.limit.changedAt.IsZero() && now.Sub(l.limit.announcedAt) < announceDuration {
+			recent = append(recent, l)
+		}
+	}
+	slices.SortFunc(recent, func(x, y *leafState) int {
+		return cmp.Or(y.limit.changedAt.Compare(x.limit.changedAt), cmp.Compare(x.leaf.Name, y.leaf.Name))
+	})
+	recent = recent[:min(len(recent), maxAnnouncedLimits)]
+	var notices []anvilmodel.RateLimitNotice
+	for _, l := range recent {
+		notices = append(notices, anvilmodel.RateLimitNotice{
+			Leaf:      l.leaf.Name,
+			StartedAt: l.leaf.StartedAt,
+			RateLimit: l.limit.RateLimit,
+			Age:       now.Sub(l.limit.announcedAt),
+		})
+	}
+	return notices
+}
+
 // isRateLimited reports whether the leaf announces a rate limit or is cold.
 func (b *Balancer) isRateLimited(l *leafState, now time.Time) bool {
 	_, limited := b.callRate(l, now)
--- a/anvilbalance/ratelimit_test.go
+++ b/anvilbalance/ratelimit_test.go
@@ -291,6 +291,169 @@
 	}
 }
 
+// limitedReply finishes a call to the leaf, which announces the limit in its reply, or that
+// there is none if it is 0.
+func limitedReply(b *anvilbalance.Balancer, perSecond float64, now time.Time) {
+	finishWithReply(b, anvilbalance.CallResult{
+		Leaf:           testLeaf(0),
+		Outcome:        anvilbalance.OutcomeGood,
+		RateLimitKnown: true,
+		RateLimit: anvilmodel.RateLimit{
+			Limited:   perSecond > 0,
+			PerSecond: perSecond,
+		},
+	}, now)
+}
+
+// A node receives a leaf's rate limit from another node before it calls the leaf. Guards
+// against a burst of calls from nodes that have not heard of the limit, against an old
+// announcement that overrides a later one, and against a limit that outlives its end.
+func TestRateLimitPassedOnByAnotherNode(t *testing.T) {
+	informed, other := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 1), newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 1)
+	limitedReply(informed, 2, start)
+	now := start.Add(time.Second)
+	passOn := func() {
+		for _, n := range informed.RateLimitsToAnnounce(now) {
+			other.MergeRateLimit(n, now)
+		}
+	}
+	passOn()
+	if calls := countCalls(other, now, time.Second)["a"]; calls > 5 {
+		t.Errorf("%d calls within 1 s from a node that was told of the limit of 2 per second", calls)
+	}
+	old := informed.RateLimitsToAnnounce(now)
+	limitedReply(informed, 0, now)
+	now = now.Add(time.Second)
+	passOn()
+	for _, n := range old {
+		n.Age += time.Second
+		if other.MergeRateLimit(n, now) {
+			t.Error("an old announcement overrides the end of the limit")
+		}
+	}
+	if calls := countCalls(other, now, time.Second)["a"]; calls != 100 {
+		t.Errorf("%d of 100 calls after the end of the limit", calls)
+	}
+	later := testLeaf(0)
+	later.StartedAt = start.Add(time.Minute)
+	other.SetLeaf(later, now)
+	limitedReply(informed, 2, now)
+	passOn()
+	if calls := countCalls(other, now, time.Second)["a"]; calls != 100 {
+		t.Errorf("%d of 100 calls to a process that was started after the one with the limit", calls)
+	}
+}
+
+// Guards against messages that grow with the number of leaves in need, and against passing
+// on limits that no reply has confirmed for long.
+func TestPassedOnRateLimitsAreBounded(t *testing.T) {
+	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 0)
+	for i := range 300 {
+		l := testLeaf(0)
+		l.Name = anvilmodel.LeafName(fmt.Sprint("leaf-", i))
+		b.SetLeaf(l, start)
+		b.RecordRateLimit(l, anvilmodel.RateLimit{
+			Limited:   true,
+			PerSecond: 3,
+		}, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	now := start.Add(time.Second)
+	notices := b.RateLimitsToAnnounce(now)
+	if len(notices) != 32 || notices[0].Leaf != "leaf-299" {
+		t.Errorf("%d limits are passed on, the first of %s, want 32 with the latest first", len(notices), notices[0].Leaf)
+	}
+	if notices := b.RateLimitsToAnnounce(start.Add(time.Minute)); len(notices) > 0 {
+		t.Errorf("%d limits are passed on a minute after the last reply", len(notices))
+	}
+}
+
+// A leaf raises its limit, lowers it and ends it. Guards against sending at the higher limit
+// while the requests under the lower one still count, against a lower limit that applies
+// late, and against a limit that applies after its end.
+func TestChangedRateLimit(t *testing.T) {
+	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 1)
+	for i, c := range []struct {
+		perSecond       float64
+		after           time.Duration
+		atLeast, atMost int
+	}{
+		{perSecond: 4, atLeast: 3, atMost: 10},
+		{perSecond: 40, atLeast: 3, atMost: 10},
+		{perSecond: 40, after: 4 * time.Second, atLeast: 35, atMost: 75},
+		{perSecond: 2, atLeast: 1, atMost: 7},
+		{perSecond: 0, atLeast: 100, atMost: 100},
+	} {
+		now := start.Add(time.Duration(i) * 10 * time.Second)
+		limitedReply(b, c.perSecond, now)
+		if calls := countCalls(b, now.Add(c.after), time.Second)["a"]; calls < c.atLeast || calls > c.atMost {
+			t.Errorf("step %d: %d calls in the second that starts %s after the announcement of %g per second, want %d to %d", i, calls, c.after, c.perSecond, c.atLeast, c.atMost)
+		}
+	}
+}
+
+// A leaf with a rate limit leaves calls unanswered until it is ejected, and is checked until
+// it returns. Guards against hedges and health checks beyond the limit.
+func TestRateLimitCountsAllRequests(t *testing.T) {
+	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{HealthPath: "/health"}, 1)
+	limitedReply(b, 1, start)
+	now := start.Add(10 * time.Second)
+	if _, status := pick(b, anvilbalance.CallHedge, now); status == anvilbalance.PickOK {
+		t.Error("a hedge was sent to a leaf with a rate limit")
+	}
+	requests := 0
+	for end := now.Add(20 * time.Second); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		if l, status := pick(b, anvilbalance.CallFirst, now); status == anvilbalance.PickOK {
+			requests++
+			finish(b, l, anvilbalance.OutcomeTimeout, time.Millisecond, now)
+		}
+		for _, l := range b.DueHealthChecks(now) {
+			requests++
+			b.FinishHealthCheck(l, requests%2 == 0, now)
+		}
+	}
+	if requests < 10 || requests > 20+5 {
+		t.Errorf("%d requests within 20 s to a leaf with a limit of 1 per second", requests)
+	}
+}
+
+// A leaf announces a limit of 0. Guards against never calling it again, because only a
+// reply can tell that the limit has ended.
+func TestRateLimitOfZeroEnds(t *testing.T) {
+	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 1)
+	b.RecordRateLimit(testLeaf(0), anvilmodel.RateLimit{Limited: true}, start)
+	if calls := countCalls(b, start, 20*time.Second)["a"]; calls < 1 || calls > 8 {
+		t.Errorf("%d calls within 20 s to a leaf with a limit of 0, want 1 to 8", calls)
+	}
+}
+
+// Both leaves of a service are at their rate limit. Guards against requests that wait for a
+// leaf that cannot take them, and against a retry delay after which it cannot either.
+func TestRetryDelayAtRateLimit(t *testing.T) {
+	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 2)
+	for i := range 2 {
+		b.RecordRateLimit(testLeaf(i), anvilmodel.RateLimit{
+			Limited:   true,
+			PerSecond: 2 - float64(i),
+		}, start)
+	}
+	now := start.Add(10 * time.Second)
+	for b.ServiceAvailable("s", now) {
+		if _, status := pick(b, anvilbalance.CallFirst, now); status != anvilbalance.PickOK {
+			t.Fatalf("status %s of an available service", status)
+		}
+	}
+	if _, status := pick(b, anvilbalance.CallFirst, now); status != anvilbalance.PickRateLimited {
+		t.Errorf("status %s, want %s", status, anvilbalance.PickRateLimited)
+	}
+	delay := b.ServiceDeferral("s", now)
+	if delay <= 0 || delay > time.Second {
+		t.Fatalf("retry delay %s at a limit of 2 per second", delay)
+	}
+	if !b.ServiceAvailable("s", now.Add(delay)) {
+		t.Errorf("no call is possible after the retry delay of %s", delay)
+	}
+}
+
 // moveCallers moves the callers of half of the busy nodes to nodes without callers, or to
 // each other if there are too few.
 func (f *limitFleet) moveCallers(busy int) {
--- a/anvilfollower/config.go
+++ b/anvilfollower/config.go
@@ -104,11 +104,11 @@
 	Members func() []anvilmodel.Member
 	// Apply applies changes. It is not called concurrently.
 	Apply func(Batch)
-	// Departures returns the departures to announce to other nodes. MergeDepartures
-	// records those that another node announced and reports whether any is new. Both are
-	// nil for a prefix without leaves.
-	Departures      func() []anvilmodel.Departure
-	MergeDepartures func([]anvilmodel.Departure) bool
+	// Announcements returns the announcements of leaves to pass on to other nodes.
+	// MergeAnnouncements records those that another node passed on, and reports whether a
+	// departure is new. Both are nil for a prefix without leaves.
+	Announcements      func() anvilmodel.LeafAnnouncements
+	MergeAnnouncements func(anvilmodel.LeafAnnouncements) bool
 	// CountRead counts a read of the store or of another node.
 	CountRead func(kind string, ok bool)
 	// Random delays reads and decides which nodes read a failing store.
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -99,7 +99,7 @@
 
 // ChangesSince answers a poll of another node. If there is no change, it waits for one.
 func (f *Follower) ChangesSince(ctx context.Context, request anvilpeer.PublishedRequest) anvilpeer.PublishedReply {
-	f.mergeDepartures(request.Departures)
+	f.mergeAnnouncements(request.Announcements)
 	timer := time.NewTimer(min(request.Wait, maxPeerPollWait))
 	defer timer.Stop()
 	for waiting := request.Wait > 0; ; {
@@ -122,7 +122,7 @@
 		changed := f.changed
 		f.mu.Unlock()
 		if ready || ctx.Err() != nil {
-			reply.Departures = f.departures()
+			reply.Announcements = f.announcements()
 			return reply
 		}
 		select {
@@ -151,18 +151,18 @@
 	f.changed = make(chan struct{})
 }
 
-// departures returns the departures to announce to other nodes.
-func (f *Follower) departures() []anvilmodel.Departure {
-	if f.config.Departures == nil {
-		return nil
+// announcements returns the announcements of leaves to pass on to other nodes.
+func (f *Follower) announcements() anvilmodel.LeafAnnouncements {
+	if f.config.Announcements == nil {
+		return anvilmodel.LeafAnnouncements{}
 	}
-	return f.config.Departures()
+	return f.config.Announcements()
 }
 
-// mergeDepartures records the departures that another node announced and notifies the
-// waiting peers if any is new.
-func (f *Follower) mergeDepartures(departures []anvilmodel.Departure) {
-	if f.config.MergeDepartures != nil && len(departures) > 0 && f.config.MergeDepartures(departures) {
+// mergeAnnouncements records the announcements that another node passed on, and notifies
+// the waiting peers if a departure is new.
+func (f *Follower) mergeAnnouncements(announcements anvilmodel.LeafAnnouncements) {
+	if f.config.MergeAnnouncements != nil && f.config.MergeAnnouncements(announcements) {
 		f.NotifyPeers()
 	}
 }
--- a/anvilfollower/peers.go
+++ b/anvilfollower/peers.go
@@ -74,7 +74,7 @@
 	}
 	awaitingStore := !f.mirror.Loaded() && !f.readFailed
 	f.mu.Unlock()
-	request.Departures = f.departures()
+	request.Announcements = f.announcements()
 	pollCtx, cancel := context.WithTimeout(ctx, wait+peerPollMargin)
 	defer cancel()
 	reply, err := f.config.FetchChanges(pollCtx, m.PeerAddress, request)
@@ -84,7 +84,7 @@
 			Str("member", string(m.Name)).Err(err).Send()
 		return 0, err
 	}
-	f.mergeDepartures(reply.Departures)
+	f.mergeAnnouncements(reply.Announcements)
 	if awaitingStore && (reply.Age < 0 || reply.Age >= maxAge) {
 		// The store is about to answer, and a stale copy may list leaves that have left.
 		return reply.Age, nil
--- a/anvilfollower/schedule_test.go
+++ b/anvilfollower/schedule_test.go
@@ -359,9 +359,11 @@
 			}
 			time.Sleep(time.Second)
 			informed := f.nodes[random.IntN(c.nodes)]
-			informed.mergeDepartures([]anvilmodel.Departure{{
-				Leaf: "leaf-1",
-			}})
+			informed.mergeAnnouncements(anvilmodel.LeafAnnouncements{
+				Departures: []anvilmodel.Departure{{
+					Leaf: "leaf-1",
+				}},
+			})
 			informed.set.Leaves.NotifyPeers()
 			time.Sleep(c.drain)
 			f.checkDepartureKnown(t, c.drain)
@@ -379,7 +381,7 @@
 func (f *fleet) checkDepartureKnown(t *testing.T, after time.Duration) {
 	t.Helper()
 	for _, n := range f.nodes {
-		if len(n.departures()) == 0 {
+		if len(n.announcements().Departures) == 0 {
 			t.Errorf("seed %d, %d nodes: %s does not know after %s that the leaf is leaving", seed, len(f.nodes), n.name, after)
 		}
 	}
--- a/anvilfollower/simulation_test.go
+++ b/anvilfollower/simulation_test.go
@@ -333,8 +333,8 @@
 			Log:          zerolog.Nop(),
 		}
 		if prefix == leafPrefix {
-			config.Departures = n.departures
-			config.MergeDepartures = n.mergeDepartures
+			config.Announcements = n.announcements
+			config.MergeAnnouncements = n.mergeAnnouncements
 		}
 		return anvilfollower.New(config)
 	}
@@ -383,23 +383,23 @@
 // nodesMu guards what the nodes record.
 var nodesMu sync.Mutex
 
-func (n *node) departures() []anvilmodel.Departure {
+func (n *node) announcements() anvilmodel.LeafAnnouncements {
 	nodesMu.Lock()
 	defer nodesMu.Unlock()
-	var departures []anvilmodel.Departure
+	var announced anvilmodel.LeafAnnouncements
 	for leaf := range n.departing {
-		departures = append(departures, anvilmodel.Departure{
+		announced.Departures = append(announced.Departures, anvilmodel.Departure{
 			Leaf: leaf,
 		})
 	}
-	return departures
+	return announced
 }
 
-func (n *node) mergeDepartures(departures []anvilmodel.Departure) bool {
+func (n *node) mergeAnnouncements(announced anvilmodel.LeafAnnouncements) bool {
 	nodesMu.Lock()
 	defer nodesMu.Unlock()
 	before := len(n.departing)
-	for _, d := range departures {
+	for _, d := range announced.Departures {
 		n.departing[d.Leaf] = true
 	}
 	return len(n.departing) > before
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -282,6 +282,9 @@
 		Ready:     freeAddress(tb),
 		Directory: freeAddress(tb),
 		Peer:      freeAddress(tb),
+		Metrics:   freeAddress(tb),
+
+		MetricsPath: "/metrics",
 	}
 	g := &testGateway{
 		addresses: addresses,
@@ -349,6 +352,21 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// metrics returns the metrics of the gateway as text.
+func (g *testGateway) metrics(tb testing.TB) string {
+	tb.Helper()
+	resp, err := g.client.Get("http://" + g.addresses.Metrics.String() + g.addresses.MetricsPath)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return string(text)
+}
+
 // response is the response that a caller receives.
 type response struct {
 	status int
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -139,8 +139,8 @@
 	g.balancer = anvilbalance.New(c.Balance)
 	g.enoughShards.Store(true)
 	leafFollower := g.followerConfig(c.Store.LeafPrefix, randomStreamLeaves, g.applyLeaves)
-	leafFollower.Departures = g.departures
-	leafFollower.MergeDepartures = g.mergeDepartures
+	leafFollower.Announcements = g.announcements
+	leafFollower.MergeAnnouncements = g.mergeAnnouncements
 	g.followers = &anvilfollower.Set{
 		Configuration: anvilfollower.New(g.followerConfig(c.Store.ConfigurationPrefix, randomStreamConfiguration, g.applyConfiguration)),
 		Leaves:        anvilfollower.New(leafFollower),
@@ -296,12 +296,13 @@
 func (g *Gateway) updateMetrics() {
 	m := g.config.Metrics
 	g.balancerMu.Lock()
-	known, ejected := g.balancer.LeafCounts()
+	leaves := g.balancer.LeafCounts()
 	fleet := g.fleetSize.Size()
 	period, _ := g.balancer.PausePattern()
 	g.balancerMu.Unlock()
-	m.Set(anvilmetric.LeavesKnown, float64(known))
-	m.Set(anvilmetric.LeavesBreakerOpen, float64(ejected))
+	m.Set(anvilmetric.LeavesKnown, float64(leaves.Known))
+	m.Set(anvilmetric.LeavesBreakerOpen, float64(leaves.Ejected))
+	m.Set(anvilmetric.LeavesLimited, float64(leaves.RateLimited))
 	m.Set(anvilmetric.LeafPausePeriod, period.Seconds())
 	m.Set(anvilmetric.GatewaysKnown, float64(fleet))
 	m.Set(anvilmetric.QueriesInFlight, float64(g.inFlight.Load()))
--- a/anvilgateway/notice.go
+++ b/anvilgateway/notice.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"anvilbridge/anvilbalance"
-	"anvilbridge/anvilmetric"
 	"anvilbridge/anvilmodel"
 )
 
@@ -94,29 +93,42 @@
 	}
 }
 
-// departures returns the departures to announce to other nodes.
-func (g *Gateway) departures() []anvilmodel.Departure {
+// announcements returns the announcements of leaves to pass on to other nodes.
+func (g *Gateway) announcements() anvilmodel.LeafAnnouncements {
 	g.balancerMu.Lock()
 	defer g.balancerMu.Unlock()
-	return g.balancer.DeparturesToAnnounce(time.Now())
+	now := time.Now()
+	return anvilmodel.LeafAnnouncements{
+		Departures: g.balancer.DeparturesToAnnounce(now),
+		RateLimits: g.balancer.RateLimitsToAnnounce(now),
+	}
 }
 
-// mergeDepartures records the departures that another node announced, and reports whether
-// any was new.
-func (g *Gateway) mergeDepartures(reported []anvilmodel.Departure) bool {
-	var added []anvilmodel.LeafName
+// mergeAnnouncements records the announcements of leaves that another node passed on, and
+// reports whether a departure was new.
+func (g *Gateway) mergeAnnouncements(announced anvilmodel.LeafAnnouncements) bool {
+	var departed []anvilmodel.LeafName
+	var limited []anvilmodel.RateLimitNotice
 	g.balancerMu.Lock()
 	now := time.Now()
-	for _, d := range reported {
+	for _, d := range announced.Departures {
 		if g.balancer.RecordDeparture(d, now) {
-			added = append(added, d.Leaf)
+			departed = append(departed, d.Leaf)
+		}
+	}
+	for _, n := range announced.RateLimits {
+		if g.balancer.MergeRateLimit(n, now) {
+			limited = append(limited, n)
 		}
 	}
 	g.balancerMu.Unlock()
-	for _, name := range added {
+	for _, name := range departed {
 		g.logDeparture(name, "other node")
 	}
-	return len(added) > 0
+	for _, n := range limited {
+		g.logRateLimit(n.Leaf, n.RateLimit, "other node")
+	}
+	return len(departed) > 0
 }
 
 // logRateLimit logs a change of the rate limit that a leaf announces.
@@ -130,7 +142,6 @@
 	g.balancerMu.Lock()
 	reports := g.balancer.LimitReports(now)
 	g.balancerMu.Unlock()
-	g.config.Metrics.Set(anvilmetric.LeavesLimited, float64(len(reports)))
 	for _, r := range reports {
 		g.config.Log.Info().Str("event", "leaf-rate-limit-calls").Str("leaf", string(r.Leaf.Name)).
 			Str("service", string(r.Leaf.Service)).Float64("per-second", r.Limit.PerSecond).Dur("age-ms", r.Age).
--- a/anvilgateway/ratelimit_test.go
+++ b/anvilgateway/ratelimit_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -50,6 +51,26 @@
 	return most
 }
 
+// A leaf announces a rate limit to one node. Guards against other nodes that do not hear of
+// it before their first call, and so send it all requests that arrive until its first reply.
+func TestRateLimitIsPassedOn(t *testing.T) {
+	s := newStore()
+	leaf := &limitedLeaf{
+		name:      "a1",
+		perSecond: 2,
+	}
+	s.register(startLeaf(t, leaf.name, "a", leaf.ServeHTTP))
+	s.configure(singleRouteConfig(singleServiceRoute("get", "/get/", "a", false)))
+	first := startReadyGateway(t, s)
+	other := startReadyGateway(t, s, first.addresses.Peer)
+	eventually(t, "the other node has heard of the limit", func() bool {
+		if _, err := first.send(context.Background(), http.MethodGet, "/get/x", "id"); err != nil {
+			t.Fatal(err)
+		}
+		return strings.Contains(other.metrics(t), "anvilbridge_leafs_rate_limited 1")
+	})
+}
+
 // A leaf announces a limit on the requests of all nodes together, and callers send several
 // times as many. Guards against nodes that ignore the limit, against callers that wait for
 // a leaf that cannot take their request, and against a refusal without a retry delay.
--- a/anvilpeer/published_test.go
+++ b/anvilpeer/published_test.go
@@ -46,24 +46,41 @@
 			},
 		},
 		Age: time.Second,
-		Departures: []anvilmodel.Departure{
-			{
-				Leaf:      "a",
-				StartedAt: time.UnixMilli(1796385600123),
-			},
-			{
-				Leaf: "b",
+		Announcements: anvilmodel.LeafAnnouncements{
+			Departures: []anvilmodel.Departure{
+				{
+					Leaf:      "a",
+					StartedAt: time.UnixMilli(1796385600123),
+				},
+				{
+					Leaf: "b",
+				},
 			},
+			RateLimits: []anvilmodel.RateLimitNotice{{
+				Leaf:      "c",
+				StartedAt: time.UnixMilli(1796385600789),
+				RateLimit: anvilmodel.RateLimit{
+					Limited:   true,
+					PerSecond: 0.25,
+				},
+				Age: 1500 * time.Millisecond,
+			}},
 		},
 	}
-	requestDepartures := []anvilmodel.Departure{{
-		Leaf:      "c",
-		StartedAt: time.UnixMilli(1796385600456),
-	}}
+	requested := anvilmodel.LeafAnnouncements{
+		Departures: []anvilmodel.Departure{{
+			Leaf:      "c",
+			StartedAt: time.UnixMilli(1796385600456),
+		}},
+		RateLimits: []anvilmodel.RateLimitNotice{{
+			Leaf: "d",
+			Age:  time.Millisecond,
+		}},
+	}
 	p := (&testPeer{}).start(t, anvilpeer.Handlers{
 		Published: func(_ context.Context, request anvilpeer.PublishedRequest) anvilpeer.PublishedReply {
-			if diff := cmp.Diff(requestDepartures, request.Departures); diff != "" {
-				t.Errorf("departures of the request (-want +got):\n%s", diff)
+			if diff := cmp.Diff(requested, request.Announcements); diff != "" {
+				t.Errorf("announcements of the request (-want +got):\n%s", diff)
 			}
 			return want
 		},
@@ -83,7 +100,7 @@
 	for range 2 {
 		got, err := client.Published(t.Context(), p.address, anvilpeer.PublishedRequest{
 			CompleteRevision: 3,
-			Departures:       requestDepartures,
+			Announcements:    requested,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -18,9 +18,9 @@
 	// GraceRemaining is for how much longer entries may be deleted only because of an
 	// outage of the store.
 	GraceRemaining time.Duration
-	// Departures are the departures that the replying node announces. The store may still
-	// list their leaves.
-	Departures []anvilmodel.Departure
+	// Announcements are those of leaves that the replying node knows. The store may still
+	// list the leaves that depart.
+	Announcements anvilmodel.LeafAnnouncements
 }
 
 // PublishedRequest requests the changes to a prefix of the platform's store that the
@@ -35,8 +35,8 @@
 	Digest uint64
 	// Wait is how long to wait if there is no change after LatestRevision.
 	Wait time.Duration
-	// Departures are the departures that the requesting node announces.
-	Departures []anvilmodel.Departure
+	// Announcements are those of leaves that the requesting node knows.
+	Announcements anvilmodel.LeafAnnouncements
 }
 
 func encodePublishedRequest(request PublishedRequest) *anvilproto.PublishedRequest {
@@ -46,7 +46,8 @@
 		Latest:     request.LatestRevision,
 		Digest:     request.Digest,
 		WaitMicros: request.Wait.Microseconds(),
-		Departures: encodeDepartures(request.Departures),
+		Departures: encodeDepartures(request.Announcements.Departures),
+		RateLimits: encodeRateLimits(request.Announcements.RateLimits),
 	}
 }
 
@@ -57,7 +58,10 @@
 		LatestRevision:   request.GetLatest(),
 		Digest:           request.GetDigest(),
 		Wait:             time.Duration(request.GetWaitMicros()) * time.Microsecond,
-		Departures:       decodeDepartures(request.GetDepartures()),
+		Announcements: anvilmodel.LeafAnnouncements{
+			Departures: decodeDepartures(request.GetDepartures()),
+			RateLimits: decodeRateLimits(request.GetRateLimits()),
+		},
 	}
 }
 
@@ -70,7 +74,8 @@
 		Digest:    reply.Digest,
 
 		LapseMicros: reply.GraceRemaining.Microseconds(),
-		Departures:  encodeDepartures(reply.Departures),
+		Departures:  encodeDepartures(reply.Announcements.Departures),
+		RateLimits:  encodeRateLimits(reply.Announcements.RateLimits),
 	}
 	for _, item := range reply.Items {
 		value, compressed := c.compress(item)
@@ -96,7 +101,10 @@
 		},
 		Age:            time.Duration(encoded.GetAgeMicros()) * time.Microsecond,
 		GraceRemaining: time.Duration(encoded.GetLapseMicros()) * time.Microsecond,
-		Departures:     decodeDepartures(encoded.GetDepartures()),
+		Announcements: anvilmodel.LeafAnnouncements{
+			Departures: decodeDepartures(encoded.GetDepartures()),
+			RateLimits: decodeRateLimits(encoded.GetRateLimits()),
+		},
 	}
 	for _, item := range encoded.GetItems() {
 		value := item.GetValue()
@@ -119,13 +127,10 @@
 func encodeDepartures(departures []anvilmodel.Departure) []*anvilproto.Departure {
 	encoded := make([]*anvilproto.Departure, 0, len(departures))
 	for _, d := range departures {
-		e := &anvilproto.Departure{
-			Leaf: string(d.Leaf),
-		}
-		if !d.StartedAt.IsZero() {
-			e.StartedMicros = d.StartedAt.UnixMicro()
-		}
-		encoded = append(encoded, e)
+		encoded = append(encoded, &anvilproto.Departure{
+			Leaf:          string(d.Leaf),
+			StartedMicros: encodeStart(d.StartedAt),
+		})
 	}
 	return encoded
 }
@@ -133,13 +138,55 @@
 func decodeDepartures(encoded []*anvilproto.Departure) []anvilmodel.Departure {
 	var departures []anvilmodel.Departure
 	for _, e := range encoded {
-		d := anvilmodel.Departure{
-			Leaf: anvilmodel.LeafName(e.GetLeaf()),
-		}
-		if micros := e.GetStartedMicros(); micros != 0 {
-			d.StartedAt = time.UnixMicro(micros)
-		}
-		departures = append(departures, d)
+		departures = append(departures, anvilmodel.Departure{
+			Leaf:      anvilmodel.LeafName(e.GetLeaf()),
+			StartedAt: decodeStart(e.GetStartedMicros()),
+		})
 	}
 	return departures
 }
+
+func encodeRateLimits(notices []anvilmodel.RateLimitNotice) []*anvilproto.RateLimit {
+	encoded := make([]*anvilproto.RateLimit, 0, len(notices))
+	for _, n := range notices {
+		encoded = append(encoded, &anvilproto.RateLimit{
+			Leaf:          string(n.Leaf),
+			StartedMicros: encodeStart(n.StartedAt),
+			Limited:       n.RateLimit.Limited,
+			PerSecond:     n.RateLimit.PerSecond,
+			AgeMicros:     n.Age.Microseconds(),
+		})
+	}
+	return encoded
+}
+
+func decodeRateLimits(encoded []*anvilproto.RateLimit) []anvilmodel.RateLimitNotice {
+	var notices []anvilmodel.RateLimitNotice
+	for _, e := range encoded {
+		notices = append(notices, anvilmodel.RateLimitNotice{
+			Leaf:      anvilmodel.LeafName(e.GetLeaf()),
+			StartedAt: decodeStart(e.GetStartedMicros()),
+			RateLimit: anvilmodel.RateLimit{
+				Limited:   e.GetLimited(),
+				PerSecond: e.GetPerSecond(),
+			},
+			Age: time.Duration(e.GetAgeMicros()) * time.Microsecond,
+		})
+	}
+	return notices
+}
+
+// encodeStart encodes a zero time, which stands for one that is not stated, as 0.
+func encodeStart(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMicro()
+}
+
+func decodeStart(micros int64) time.Time {
+	if micros == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(micros)
+}
