Allow hedges at rate-limited leaves that have calls to spare

A hedge to a leaf with a limit is allowed if half of the calls that the node may make at once remain afterwards, so that a shard whose other leaf pauses is still answered.

--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -244,7 +244,7 @@
 		if !l.callable(b, now) || slices.Contains(r.Tried, l.leaf.Name) {
 			continue
 		}
-		if r.Kind == CallHedge && (l.queueFull() || b.isRateLimited(l, now)) {
+		if r.Kind == CallHedge && (l.queueFull() || !b.rateLimitAllowsHedge(l, now)) {
 			continue
 		}
 		if !b.attemptCall(l, now) {
--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -172,10 +172,11 @@
 	return notices
 }
 
-// isRateLimited reports whether the leaf announces a rate limit or is cold.
-func (b *Balancer) isRateLimited(l *leafState, now time.Time) bool {
-	_, limited := b.callRate(l, now)
-	return limited
+// rateLimitAllowsHedge reports whether the rate limits of the leaf leave enough for other
+// calls after a hedge: half of the calls that may be made at once.
+func (b *Balancer) rateLimitAllowsHedge(l *leafState, now time.Time) bool {
+	rate, limited := b.callRate(l, now)
+	return !limited || b.rateLimitWait(l, now) == 0 && l.bucket.tokens-1 >= rate.burst/2
 }
 
 // callRate returns the rate at which this node may call a leaf; limited is false if there is
