Keep the rate limit of a leaf whose entry lapses

While the store is away, entries of live leaves lapse and return. All nodes forgot the limits of such leaves at the same moment, and sent them all requests until the first reply. The limit and the state of its bucket are now kept for two minutes for the same process.

TestRateLimitBesideOtherLimits covers a limit beside those of a cold or deferring leaf.

--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -90,7 +90,9 @@
 	excludedDomains map[anvilmodel.FailureDomain]bool
 	// departures are the announced shutdowns of leaves.
 	departures map[anvilmodel.LeafName]departure
-	pauses     pauseModel
+	// removedLimits are the rate limits of leaves without an entry.
+	removedLimits map[anvilmodel.LeafName]removedLimit
+	pauses        pauseModel
 }
 
 type serviceState struct {
@@ -125,6 +127,7 @@
 		routeLatencies:  make(map[anvilroute.Name]*latencyHistogram),
 		excludedDomains: make(map[anvilmodel.FailureDomain]bool),
 		departures:      make(map[anvilmodel.LeafName]departure),
+		removedLimits:   make(map[anvilmodel.LeafName]removedLimit),
 	}
 }
 
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -85,7 +85,7 @@
 func (b *Balancer) SetLeaf(l Leaf, now time.Time) {
 	state := b.leaves[l.Name]
 	if state != nil && (state.leaf.Service != l.Service || state.leaf.Address != l.Address || !state.leaf.StartedAt.Equal(l.StartedAt)) {
-		b.deleteLeaf(state)
+		b.deleteLeaf(state, now)
 		state = nil
 	}
 	if state == nil {
@@ -94,6 +94,7 @@
 			decayedAt:    now,
 		}
 		b.leaves[l.Name] = state
+		b.restoreLimit(state, l, now)
 		s := b.service(l.Service)
 		s.leaves = append(s.leaves, state)
 	}
@@ -111,12 +112,13 @@
 	case grace > 0:
 		state.graceEnd = now.Add(grace)
 	default:
-		b.deleteLeaf(state)
+		b.deleteLeaf(state, now)
 	}
 }
 
-func (b *Balancer) deleteLeaf(l *leafState) {
+func (b *Balancer) deleteLeaf(l *leafState, now time.Time) {
 	delete(b.leaves, l.leaf.Name)
+	b.keepLimit(l, now)
 	s := b.service(l.leaf.Service)
 	s.leaves = slices.DeleteFunc(s.leaves, func(other *leafState) bool { return other == l })
 }
@@ -424,7 +426,7 @@
 	var due []Leaf
 	for _, l := range b.leaves {
 		if !l.graceEnd.IsZero() && !now.Before(l.graceEnd) {
-			b.deleteLeaf(l)
+			b.deleteLeaf(l, now)
 			continue
 		}
 		if l.ejected && l.usable(b, now) && !l.deferred(now) && !now.Before(l.nextCheckAt) && b.attemptCall(l, now) {
--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -24,6 +25,10 @@
 	// maxAnnouncedLimits limits the rate limits that are passed on to other nodes at a time,
 	// so that they take at most about 1 KB of a message.
 	maxAnnouncedLimits = 32
+	// removedLimitRetention is how long the rate limit of a leaf without an entry is kept, in
+	// case the entry reappears, and maxRemovedLimits the number of those that are kept.
+	removedLimitRetention = 2 * time.Minute
+	maxRemovedLimits      = 4096
 	// limitRaiseDelay is the time after which a higher limit applies. A leaf counts its
 	// requests over 4 s, and those of the lower limit must not be exceeded in any of them.
 	limitRaiseDelay = 4 * time.Second
@@ -114,6 +119,43 @@
 	Calls CallCounts
 }
 
+// removedLimit is the rate limit of a leaf without an entry. The entry may reappear, for
+// example after an outage of the store.
+type removedLimit struct {
+	startedAt time.Time
+	removedAt time.Time
+	limit     announcedLimit
+	bucket    tokenBucket
+}
+
+// keepLimit keeps the rate limit of a leaf whose entry is removed.
+func (b *Balancer) keepLimit(l *leafState, now time.Time) {
+	maps.DeleteFunc(b.removedLimits, func(_ anvilmodel.LeafName, r removedLimit) bool {
+		return now.Sub(r.removedAt) >= removedLimitRetention
+	})
+	if l.limit.Limited && len(b.removedLimits) < maxRemovedLimits {
+		b.removedLimits[l.leaf.Name] = removedLimit{
+			startedAt: l.leaf.StartedAt,
+			removedAt: now,
+			limit:     l.limit,
+			bucket:    l.bucket,
+		}
+	}
+}
+
+// restoreLimit restores the rate limit of a leaf whose entry reappears.
+func (b *Balancer) restoreLimit(state *leafState, l Leaf, now time.Time) {
+	r, ok := b.removedLimits[l.Name]
+	if !ok {
+		return
+	}
+	delete(b.removedLimits, l.Name)
+	if r.startedAt.Equal(l.StartedAt) && now.Sub(r.removedAt) < removedLimitRetention {
+		state.limit = r.limit
+		state.bucket = r.bucket
+	}
+}
+
 // RecordRateLimit records the rate limit that a leaf announces in a reply, and reports
 // whether it has changed.
 func (b *Balancer) RecordRateLimit(l Leaf, limit anvilmodel.RateLimit, now time.Time) bool {
--- a/anvilbalance/ratelimit_test.go
+++ b/anvilbalance/ratelimit_test.go
@@ -422,6 +422,59 @@
 	}
 }
 
+// The entry of a leaf with a rate limit lapses while the store is unavailable, and returns.
+// Guards against forgetting the limit, and against applying it to a later process.
+func TestRateLimitSurvivesLapsedEntry(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		startedAt time.Time
+		limited   bool
+	}{
+		{name: "same process", limited: true},
+		{name: "later process", startedAt: start.Add(time.Second)},
+	} {
+		b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 1)
+		limitedReply(b, 2, start)
+		now := start.Add(2 * time.Second)
+		b.RemoveLeaf("a", now, 0)
+		returned := testLeaf(0)
+		returned.StartedAt = c.startedAt
+		now = now.Add(3 * time.Second)
+		b.SetLeaf(returned, now)
+		if calls := countCalls(b, now, time.Second)["a"]; (calls < 10) != c.limited {
+			t.Errorf("%s: %d calls within 1 s, limited: %t", c.name, calls, c.limited)
+		}
+	}
+}
+
+// A leaf that announces a rate limit is also cold, or accepts no calls for a time. Guards
+// against keeping to one of its limits only.
+func TestRateLimitBesideOtherLimits(t *testing.T) {
+	for _, c := range []struct {
+		name                  string
+		coldRate, perSecond   float64
+		deferral              time.Duration
+		leastCalls, mostCalls int
+	}{
+		{name: "lower while cold", coldRate: 2, perSecond: 50, leastCalls: 1, mostCalls: 8},
+		{name: "lower than while cold", coldRate: 50, perSecond: 2, leastCalls: 1, mostCalls: 8},
+		{name: "deferred", perSecond: 50, deferral: time.Second},
+	} {
+		b := newBalancer(anvilbalance.Config{ColdSlack: 5}, anvilroute.Service{MaxColdRate: c.coldRate}, 0)
+		l := testLeaf(0)
+		if c.coldRate > 0 {
+			l.ColdFor = time.Minute
+		}
+		b.SetLeaf(l, start)
+		limitedReply(b, c.perSecond, start)
+		now := start.Add(5 * time.Second)
+		b.DeferCalls(l, c.deferral, now)
+		if calls := countCalls(b, now, time.Second)["a"]; calls < c.leastCalls || calls > c.mostCalls {
+			t.Errorf("%s: %d calls within 1 s, want %d to %d", c.name, calls, c.leastCalls, c.mostCalls)
+		}
+	}
+}
+
 // A leaf announces a limit of 0. Guards against never calling it again, because only a
 // reply can tell that the limit has ended.
 func TestRateLimitOfZeroEnds(t *testing.T) {
