Return to a leaf gradually after the end of its rate limit

All nodes sent a leaf their full share of calls again in the moment in which its limit ended. Calls now start at twice the limit and double every 2 s, for 8 s.

--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -32,6 +32,10 @@
 	// limitRaiseDelay is the time after which a higher limit applies. A leaf counts its
 	// requests over 4 s, and those of the lower limit must not be exceeded in any of them.
 	limitRaiseDelay = 4 * time.Second
+	// After the end of a limit, the rate of calls starts at twice the limit and doubles every
+	// rampStep until rampTime is over, because all nodes return to the leaf at the same time.
+	rampStep = 2 * time.Second
+	rampTime = 4 * rampStep
 )
 
 // announcedLimit is the rate limit that a leaf announced last.
@@ -43,9 +47,11 @@
 	changedAt   time.Time
 	// lower holds earlier limits that are lower and still apply, the lowest first.
 	lower []supersededLimit
+	// ended is the limit that the leaf has ended last.
+	ended supersededLimit
 }
 
-// supersededLimit is an earlier and lower limit.
+// supersededLimit is an earlier limit.
 type supersededLimit struct {
 	perSecond float64
 	endedAt   time.Time
@@ -61,6 +67,10 @@
 	}
 	a.changedAt = now
 	if !limit.Limited {
+		a.ended = supersededLimit{
+			perSecond: a.lowest(previous.PerSecond, now),
+			endedAt:   now,
+		}
 		a.lower = nil
 		return true
 	}
@@ -74,16 +84,28 @@
 	return true
 }
 
-// current returns the limit in force: the lowest that the leaf has announced within
+// current returns the limit in force; limited is false if there is none.
+func (a *announcedLimit) current(now time.Time) (perSecond float64, limited bool) {
+	if a.Limited {
+		return max(a.lowest(a.PerSecond, now), minRateLimit), true
+	}
+	sinceEnd := now.Sub(a.ended.endedAt)
+	if a.ended.endedAt.IsZero() || sinceEnd >= rampTime {
+		return 0, false
+	}
+	return math.Ldexp(max(a.ended.perSecond, minRateLimit), 1+int(sinceEnd/rampStep)), true
+}
+
+// lowest returns the lowest of the given limit and those that the leaf has announced within
 // limitRaiseDelay.
-func (a *announcedLimit) current(now time.Time) float64 {
+func (a *announcedLimit) lowest(perSecond float64, now time.Time) float64 {
 	for len(a.lower) > 0 && now.Sub(a.lower[0].endedAt) >= limitRaiseDelay {
 		a.lower = a.lower[1:]
 	}
 	if len(a.lower) > 0 {
-		return a.lower[0].perSecond
+		return min(perSecond, a.lower[0].perSecond)
 	}
-	return a.PerSecond
+	return perSecond
 }
 
 // CallCounts counts the requests that this node has sent to a leaf.
@@ -133,7 +155,7 @@
 	maps.DeleteFunc(b.removedLimits, func(_ anvilmodel.LeafName, r removedLimit) bool {
 		return now.Sub(r.removedAt) >= removedLimitRetention
 	})
-	if l.limit.Limited && len(b.removedLimits) < maxRemovedLimits {
+	if _, limited := l.limit.current(now); limited && len(b.removedLimits) < maxRemovedLimits {
 		b.removedLimits[l.leaf.Name] = removedLimit{
 			startedAt: l.leaf.StartedAt,
 			removedAt: now,
@@ -183,7 +205,7 @@
 	if changed {
 		state.calls = CallCounts{}
 	}
-	if !wasLimited {
+	if !wasLimited && limit.Limited {
 		state.bucket = b.newBucket(now)
 	}
 	return changed
@@ -228,8 +250,8 @@
 		perSecond: math.Inf(1),
 		burst:     math.Inf(1),
 	}
-	if l.limit.Limited {
-		rate.perSecond = max(l.limit.current(now), minRateLimit)
+	if perSecond, ok := l.limit.current(now); ok {
+		rate.perSecond = perSecond
 		limited = true
 	}
 	if coldRate := b.service(l.leaf.Service).settings.MaxColdRate; coldRate > 0 && now.Before(l.coldUntil) {
--- a/anvilmember/fleet_test.go
+++ b/anvilmember/fleet_test.go
@@ -78,6 +78,7 @@
 			sim.call(process, func(a *anvilmember.Actions) {
 				process.UpdateSelf(anvilmember.SelfState{
 					Load:           sim.now.Sub(startTime).Seconds(),
+					RequestRate:    200,
 					ConfigRevision: 1700,
 					Serving:        true,
 					TicketEpoch:    300,
