--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// minRateLimit is the least number of requests per second that all nodes together send
-	// to a leaf with a rate limit, because only a reply can tell that the limit has ended.
-	minRateLimit = 0.25
 	// burstTime and burstCalls give the number of calls that all nodes together may make at
 	// once to a leaf with a rate limit: those of burstTime, plus burstCalls.
 	burstTime  = 750 * time.Millisecond
@@ -29,118 +26,8 @@
 	// case the entry reappears, and maxRemovedLimits the number of those that are kept.
 	removedLimitRetention = 2 * time.Minute
 	maxRemovedLimits      = 4096
-	// limitRaiseDelay is the time after which a higher limit applies. A leaf counts its
-	// requests over 4 s, and those of the lower limit must not be exceeded in any of them.
-	limitRaiseDelay = 4 * time.Second
-	// After the end of a limit, the rate of calls starts at twice the limit and doubles every
-	// rampStep until rampTime is over, because all nodes return to the leaf at the same time.
-	rampStep = 2 * time.Second
-	rampTime = 4 * rampStep
 )
 
-// announcedLimit is the rate limit that a leaf announced last.
-type announcedLimit struct {
-	anvilmodel.RateLimit
-	// announcedAt is when the leaf sent the last announcement, and changedAt when it sent
-	// the first of the present limit.
-	announcedAt time.Time
-	changedAt   time.Time
-	// lower holds earlier limits that are lower and still apply, the lowest first.
-	lower []supersededLimit
-	// ended is the limit that the leaf has ended last.
-	ended supersededLimit
-}
-
-// supersededLimit is an earlier limit.
-type supersededLimit struct {
-	perSecond float64
-	endedAt   time.Time
-}
-
-// update takes over an announcement and reports whether it differs from the last one.
-func (a *announcedLimit) update(limit anvilmodel.RateLimit, now time.Time) bool {
-	previous := a.RateLimit
-	a.RateLimit = limit
-	a.announcedAt = now
-	if limit == previous {
-		return false
-	}
-	a.changedAt = now
-	if !limit.Limited {
-		a.ended = supersededLimit{
-			perSecond: a.lowest(previous.PerSecond, now),
-			endedAt:   now,
-		}
-		a.lower = nil
-		return true
-	}
-	if previous.Limited {
-		a.lower = append(a.lower, supersededLimit{
-			perSecond: previous.PerSecond,
-			endedAt:   now,
-		})
-	}
-	a.lower = slices.DeleteFunc(a.lower, func(l supersededLimit) bool { return l.perSecond >= limit.PerSecond })
-	return true
-}
-
-// current returns the limit in force; limited is false if there is none.
-func (a *announcedLimit) current(now time.Time) (perSecond float64, limited bool) {
-	if a.Limited {
-		return max(a.lowest(a.PerSecond, now), minRateLimit), true
-	}
-	sinceEnd := now.Sub(a.ended.endedAt)
-	if a.ended.endedAt.IsZero() || sinceEnd >= rampTime {
-		return 0, false
-	}
-	return math.Ldexp(max(a.ended.perSecond, minRateLimit), 1+int(sinceEnd/rampStep)), true
-}
-
-// lowest returns the lowest of the given limit and those that the leaf has announced within
-// limitRaiseDelay.
-func (a *announcedLimit) lowest(perSecond float64, now time.Time) float64 {
-	for len(a.lower) > 0 && now.Sub(a.lower[0].endedAt) >= limitRaiseDelay {
-		a.lower = a.lower[1:]
-	}
-	if len(a.lower) > 0 {
-		return min(perSecond, a.lower[0].perSecond)
-	}
-	return perSecond
-}
-
-// CallCounts counts the requests that this node has sent to a leaf.
-type CallCounts struct {
-	First        int
-	Hedges       int
-	Retries      int
-	HealthChecks int
-	// Withheld is how often the leaf was passed over because of its rate limit.
-	Withheld int
-}
-
-func (c *CallCounts) add(kind CallKind) {
-	switch kind {
-	case CallFirst:
-		c.First++
-	case CallHedge:
-		c.Hedges++
-	case CallRetry:
-		c.Retries++
-	}
-}
-
-// LimitReport describes this node's calls to a leaf with a rate limit.
-type LimitReport struct {
-	Leaf  Leaf
-	Limit anvilmodel.RateLimit
-	// Age is the time since the leaf last announced the limit.
-	Age time.Duration
-	// Share is the part of the limit that this node may use.
-	Share float64
-	// Calls are those since the last report.
-	Calls CallCounts
-}
-
 // removedLimit is the rate limit of a leaf without an entry. The entry may reappear, for
 // example after an outage of the store.
 type removedLimit struct {
@@ -307,23 +194,3 @@
 		l.bucket.take(rate)
 	}
 }
-
-// LimitReports returns a report for each leaf that announces a rate limit, and resets the
-// counts.
-func (b *Balancer) LimitReports(now time.Time) []LimitReport {
-	var reports []LimitReport
-	for _, l := range b.leaves {
-		if !l.limit.Limited {
-			continue
-		}
-		reports = append(reports, LimitReport{
-			Leaf:  l.leaf,
-			Limit: l.limit.RateLimit,
-			Age:   now.Sub(l.limit.announcedAt),
-			Share: b.share,
-			Calls: l.calls,
-		})
-		l.calls = CallCounts{}
-	}
-	return reports
-}
--- a/anvilbalance/share.go
+++ b/anvilbalance/share.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// baselineShare is the part of an average node's demand that each node is assumed to
-	// have in addition to its own. It gives nodes without callers, and nodes whose demand
-	// the others may not know yet, a small share.
+	// baselineShare is the part of an average node's demand that each node counts with in
+	// addition to its own. It gives a small share to nodes without callers, and to those
+	// whose demand the others may not know yet.
 	baselineShare = 0.15
 	// minGrowthDelay and growthDelayPerNode give the time after which all nodes know an
 	// announced demand. It grows with the fleet, because nodes announce their demand along
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -120,9 +120,9 @@
 }
 
 // updateFleetSize updates the share of the rate limits of leaves, the number of nodes among
-// which the balancer divides the other limits, and the size of the subset of nodes to which callers are directed. A
-// node of the subset counts the nodes of the subset, with a margin for the others. Any
-// other node counts the whole fleet.
+// which the balancer divides the other limits, and the size of the subset of nodes to which
+// callers are directed. A node of the subset counts the nodes of the subset, with a margin
+// for the others. Any other node counts the whole fleet.
 func (g *Gateway) updateFleetSize(now time.Time) {
 	g.membersMu.Lock()
 	members := g.members.Members()
@@ -161,9 +161,10 @@
 	g.balancer.SetShare(g.share.Share())
 }
 
-// divideLeafLimits divides the connection limits of the leaves among the nodes. It returns the
-// largest number of nodes to which callers can be directed such that each still has
-// minConnectionsPerLeaf connections to a leaf, but at least minSubsetSize.
+// divideLeafLimits divides the connection limits of the leaves and the slack of the retry
+// budget among the nodes. It returns the largest number of nodes to which callers can be
+// directed such that each still has minConnectionsPerLeaf connections to a leaf, but at
+// least minSubsetSize.
 func (g *Gateway) divideLeafLimits(nodes, subsetSize int, inSubset bool, now time.Time) int {
 	g.balancerMu.Lock()
 	defer g.balancerMu.Unlock()
