--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -16,9 +16,10 @@
 	burstTime  = 750 * time.Millisecond
 	burstCalls = 2
 	// partialCallRate is the part of its rate that a node uses if it makes its calls in
-	// parts. Such nodes complete their calls independently, so that the number of calls of
-	// all nodes varies.
+	// parts and has less than manyNodesShare of a limit. Many nodes complete their calls
+	// independently of each other, so that the number of their calls together varies.
 	partialCallRate = 0.8
+	manyNodesShare  = 0.1
 	// maxAnnouncedLimits limits the rate limits that are passed on to other nodes at a time,
 	// so that they take at most about 1 KB of a message.
 	maxAnnouncedLimits = 32
@@ -150,7 +151,7 @@
 	rate.burst = min(rate.burst, rate.perSecond*burstTime.Seconds()+burstCalls)
 	rate.perSecond *= b.share
 	rate.burst *= b.share
-	if rate.burst < 1 {
+	if rate.burst < 1 && b.share < manyNodesShare {
 		rate.perSecond *= partialCallRate
 	}
 	return rate, limited
