--- a/anvilbalance/announcedlimit.go
+++ b/anvilbalance/announcedlimit.go
@@ -12,9 +12,9 @@
 	// minRateLimit is the least number of requests per second that all nodes together send
 	// to a leaf with a rate limit, because only a reply can tell that the limit has ended.
 	minRateLimit = 0.25
-	// limitRaiseDelay is the time after which a higher limit applies. A leaf counts its
-	// requests over 4 s, and those of the lower limit must not be exceeded in any of them.
-	limitRaiseDelay = 4 * time.Second
+	// limitRaiseDelay is the time after which a higher limit applies, so that no limitWindow
+	// holds more than the lower one allows.
+	limitRaiseDelay = limitWindow
 	// After the end of a limit, the rate of calls starts at twice the limit and doubles every
 	// rampStep until rampTime is over, because all nodes return to the leaf at the same time.
 	rampStep = 2 * time.Second
--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -82,8 +82,10 @@
 type Balancer struct {
 	config    Config
 	nodeCount int
-	// share is the part of the rate limits of leaves that this node may use.
+	// share is the part of the rate limits of leaves that this node may use, and phase the
+	// position of this node among the nodes that share them, from 0 to 1.
 	share           float64
+	phase           float64
 	leaves          map[anvilmodel.LeafName]*leafState
 	services        map[anvilmodel.ServiceName]*serviceState
 	routeLatencies  map[anvilroute.Name]*latencyHistogram
@@ -137,9 +139,10 @@
 }
 
 // SetShare sets the part of the rate limits of leaves that this node may use, above 0 and at
-// most 1.
-func (b *Balancer) SetShare(share float64) {
+// most 1, and its position among the nodes that share them, from 0 to 1.
+func (b *Balancer) SetShare(share, phase float64) {
 	b.share = share
+	b.phase = phase
 }
 
 // SetServices replaces the settings of all services. Services that are not in the map
--- a/anvilbalance/balance_test.go
+++ b/anvilbalance/balance_test.go
@@ -304,7 +304,7 @@
 		}, anvilroute.Service{
 			MaxColdRate: rate,
 		}, 0)
-		b.SetShare(1 / float64(nodes))
+		b.SetShare(1/float64(nodes), float64(i)/float64(nodes))
 		coldLeaf := testLeaf(0)
 		coldLeaf.ColdFor = 3 * time.Second
 		b.SetLeaf(coldLeaf, start)
--- a/anvilbalance/bucket.go
+++ b/anvilbalance/bucket.go
@@ -10,9 +10,9 @@
 	burst float64
 }
 
-// cost returns the number of tokens that a call takes.
-func (r callRate) cost() float64 {
-	return min(r.burst, 1)
+// isPartial reports whether the node makes its calls in parts.
+func (r callRate) isPartial() bool {
+	return r.burst < 1
 }
 
 // tokenBucket holds the calls that this node may make to a leaf. In a large fleet, a bucket
@@ -22,8 +22,8 @@
 type tokenBucket struct {
 	tokens     float64
 	refilledAt time.Time
-	// partial is the part of a call that earlier attempts have taken. It starts at a random
-	// value, so that the nodes do not complete their calls at the same time.
+	// partial is the part of a call that earlier attempts have taken. It starts at another
+	// value on each node, so that the nodes do not complete their calls at the same time.
 	partial float64
 }
 
@@ -35,13 +35,13 @@
 	t.tokens = min(t.tokens, r.burst)
 }
 
-// attempt reports whether a call may be made now. If the bucket is smaller than a call and
-// full, an attempt that does not complete a call takes its tokens.
+// attempt reports whether a call may be made now. An attempt that does not complete a call
+// takes its part of it.
 func (t *tokenBucket) attempt(r callRate) bool {
 	if t.wait(r) == 0 {
 		return true
 	}
-	if t.tokens >= r.cost()-tokenEpsilon {
+	if r.isPartial() {
 		t.partial += t.tokens
 		t.tokens = 0
 	}
@@ -50,18 +50,23 @@
 
 // take takes the tokens of a call, for which wait must return 0.
 func (t *tokenBucket) take(r callRate) {
-	cost := r.cost()
-	t.tokens = max(t.tokens-cost, 0)
-	t.partial = max(t.partial+cost-1, 0)
+	t.tokens = max(t.tokens-t.needed(r), 0)
+	if r.isPartial() {
+		t.partial = 0
+	}
+}
+
+// needed returns the number of tokens that complete a call.
+func (t *tokenBucket) needed(r callRate) float64 {
+	if r.isPartial() {
+		return 1 - t.partial
+	}
+	return 1
 }
 
 // wait returns the time until a call may be made; 0 if it may be made now.
 func (t *tokenBucket) wait(r callRate) time.Duration {
-	cost := r.cost()
-	missing := max(cost-t.tokens, 1-t.partial-t.tokens)
-	if cost == 1 {
-		missing = 1 - t.tokens
-	}
+	missing := t.needed(r) - t.tokens
 	if missing <= tokenEpsilon {
 		return 0
 	}
--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"anvilbridge/anvilmodel"
 )
 
@@ -15,11 +17,18 @@
 	// once to a leaf with a rate limit: those of burstTime, plus burstCalls.
 	burstTime  = 750 * time.Millisecond
 	burstCalls = 2
-	// partialCallRate is the part of its rate that a node uses if it makes its calls in
-	// parts and has less than manyNodesShare of a limit. Many nodes complete their calls
-	// independently of each other, so that the number of their calls together varies.
-	partialCallRate = 0.8
-	manyNodesShare  = 0.1
+	// A leaf tolerates limitTolerance times its limit plus toleratedCalls in any limitWindow
+	// (the users' rule).
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	toleratedCalls = 5
+	// manyNodesShare is the share of a limit below which a node that makes its calls in parts
+	// reduces its rate. Many nodes complete their calls independently of each other, so that
+	// the number of their calls together varies.
+	manyNodesShare = 0.1
+	// maxDeviations is the number of standard deviations by which it may vary within what a
+	// leaf tolerates.
+	maxDeviations = 5
 	// maxAnnouncedLimits limits the rate limits that are passed on to other nodes at a time,
 	// so that they take at most about 1 KB of a message.
 	maxAnnouncedLimits = 32
@@ -94,7 +103,7 @@
 		state.calls = CallCounts{}
 	}
 	if !wasLimited && limit.Limited {
-		state.bucket = b.newBucket(now)
+		state.bucket = b.newBucket(state.leaf.Name, now)
 	}
 	return changed
 }
@@ -151,12 +160,21 @@
 	rate.burst = min(rate.burst, rate.perSecond*burstTime.Seconds()+burstCalls)
 	rate.perSecond *= b.share
 	rate.burst *= b.share
-	if rate.burst < 1 && b.share < manyNodesShare {
-		rate.perSecond *= partialCallRate
+	if rate.isPartial() && b.share < manyNodesShare {
+		rate.perSecond = manyNodesRate(rate.perSecond/b.share) * b.share
 	}
 	return rate, limited
 }
 
+// manyNodesRate returns the average rate of calls of many nodes together to a leaf with the
+// limit. The number of calls in limitWindow varies by the root of its average.
+func manyNodesRate(perSecond float64) float64 {
+	window := limitWindow.Seconds()
+	tolerated := limitTolerance*perSecond*window + toleratedCalls
+	root := (math.Sqrt(maxDeviations*maxDeviations+4*tolerated) - maxDeviations) / 2
+	return min(perSecond, root*root/window)
+}
+
 // rateLimitWait returns the time until the rate limits of the leaf allow a call; 0 if they
 // allow one now.
 func (b *Balancer) rateLimitWait(l *leafState, now time.Time) time.Duration {
@@ -165,17 +183,20 @@
 		return 0
 	}
 	if l.bucket.refilledAt.IsZero() {
-		l.bucket = b.newBucket(now)
+		l.bucket = b.newBucket(l.leaf.Name, now)
 	}
 	l.bucket.refill(rate, now)
 	return l.bucket.wait(rate)
 }
 
-// newBucket returns an empty bucket.
-func (b *Balancer) newBucket(now time.Time) tokenBucket {
+// newBucket returns an empty bucket. Its part of a call differs by the position of the node,
+// and by leaf, so that not always the same nodes complete their calls first.
+func (b *Balancer) newBucket(name anvilmodel.LeafName, now time.Time) tokenBucket {
+	offset := float64(xxhash.Sum64String(string(name))) / math.MaxUint64
+	_, partial := math.Modf(b.phase + offset)
 	return tokenBucket{
 		refilledAt: now,
-		partial:    b.config.Random.Float64(),
+		partial:    partial,
 	}
 }
 
--- a/anvilbalance/ratelimit_test.go
+++ b/anvilbalance/ratelimit_test.go
@@ -176,7 +176,7 @@
 		members[0].Status = anvilmodel.MemberAlive
 		members[0].RequestRate = n.rates[len(n.rates)-1]
 		n.share.Observe(members, f.now)
-		n.balancer.SetShare(n.share.Share())
+		n.balancer.SetShare(n.share.Share(), n.share.Phase())
 		members[0] = self
 		members[0], members[i] = members[i], members[0]
 	}
@@ -247,8 +247,8 @@
 // Callers send at least three times as many requests as a leaf accepts from all nodes
 // together, to all nodes or to some. Then they move to other nodes, nodes are restarted, one freezes and
 // returns, and another is lost. Guards against shares that add up to more than the limit,
-// also where a node's share is below one call per second, and against leaving half of a
-// limit unused, or more than that while nodes and callers change.
+// also where a node's share is below one call per second, and against leaving most of a
+// limit unused.
 func TestRateLimitOverAllNodes(t *testing.T) {
 	for _, c := range []struct {
 		nodes, busy int
@@ -274,7 +274,7 @@
 			f.run(6*time.Second + knownAfter)
 			settled := f.now
 			f.run(20 * time.Second)
-			f.check(t, settled, 0.5)
+			f.check(t, settled, 0.4)
 			f.moveCallers(c.busy)
 			f.run(15*time.Second + knownAfter)
 			for range max(1, c.busy/4) {
--- a/anvilbalance/share.go
+++ b/anvilbalance/share.go
@@ -43,6 +43,7 @@
 	// settled is set once the view of the fleet has been stable.
 	settled bool
 	share   float64
+	phase   float64
 }
 
 type announcedDemand struct {
@@ -53,7 +54,7 @@
 // Observe updates the estimate. The members are the known ones, this node first.
 func (e *ShareEstimator) Observe(members []anvilmodel.Member, now time.Time) {
 	own := members[0].RequestRate
-	count, total := 1, own
+	count, total, rank := 1, own, 0
 	retention := deadShareRetention
 	if anvilmodel.IsIsolated(members[1:]) {
 		retention = isolatedRetention
@@ -76,8 +77,12 @@
 		}
 		count++
 		total += m.RequestRate
+		if anvilmodel.CompareByHash(m.Name, members[0].Name) < 0 {
+			rank++
+		}
 	}
 	e.deadSince = dead
+	e.phase = float64(rank) / float64(count)
 	e.size.Observe(count, now)
 	granted := e.grantedDemand(own, count, now)
 	baseline := baselineShare * total / float64(count)
@@ -116,6 +121,12 @@
 	return lowest
 }
 
+// Phase returns the position of this node among the nodes that share the limits, from 0 to 1.
+// The positions of all nodes are spread evenly.
+func (e *ShareEstimator) Phase() float64 {
+	return e.phase
+}
+
 // Share returns the part of the limits that this node may use, above 0 and at most 1.
 func (e *ShareEstimator) Share() float64 {
 	if e.share <= 0 {
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -158,7 +158,7 @@
 	rate := g.demand.Update(g.requestCount.Swap(0), now)
 	g.requestRate.Store(math.Float64bits(rate))
 	g.share.Observe(members, now)
-	g.balancer.SetShare(g.share.Share())
+	g.balancer.SetShare(g.share.Share(), g.share.Phase())
 }
 
 // divideLeafLimits divides the connection limits of the leaves and the slack of the retry
