Pass on few rate limits that have not changed lately

With many limited leaves in a fleet of 410, a node that 16 others poll sent all of up to 32 limits in each reply, about 15 KB/s where all control traffic may take 4 KB/s. Limits that changed more than 5 s ago now take at most 4 places of a message.

--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -29,9 +29,13 @@
 	// maxDeviations is the number of standard deviations by which it may vary within what a
 	// leaf tolerates.
 	maxDeviations = 5
-	// maxAnnouncedLimits limits the rate limits that are passed on to other nodes at a time,
-	// so that they take at most about 1 KB of a message.
-	maxAnnouncedLimits = 32
+	// maxNewLimits bounds the rate limits in a message to another node, and maxOldLimits
+	// those that changed more than newLimitTime ago. One takes about 40 bytes, and a node may
+	// send messages to 16 others every 1.4 s, so that old limits take 1.8 KB/s of the 4 KB/s
+	// that a node may spend on control traffic.
+	maxNewLimits = 32
+	maxOldLimits = 4
+	newLimitTime = 5 * time.Second
 	// removedLimitRetention is how long the rate limit of a leaf without an entry is kept, in
 	// case the entry reappears, and maxRemovedLimits the number of those that are kept.
 	removedLimitRetention = 2 * time.Minute
@@ -109,7 +113,8 @@
 }
 
 // RateLimitsToAnnounce returns the rate limits to pass on to other nodes: those that leaves
-// announced or ended within announceDuration, the latest changes first.
+// announced or ended within announceDuration, the latest changes first, and only a few that
+// have not changed lately.
 func (b *Balancer) RateLimitsToAnnounce(now time.Time) []anvilmodel.RateLimitNotice {
 	var recent []*leafState
 	for _, l := range b.leaves {
@@ -120,9 +125,11 @@
 	slices.SortFunc(recent, func(x, y *leafState) int {
 		return cmp.Or(y.limit.changedAt.Compare(x.limit.changedAt), cmp.Compare(x.leaf.Name, y.leaf.Name))
 	})
-	recent = recent[:min(len(recent), maxAnnouncedLimits)]
 	var notices []anvilmodel.RateLimitNotice
-	for _, l := range recent {
+	for i, l := range recent[:min(len(recent), maxNewLimits)] {
+		if i >= maxOldLimits && now.Sub(l.limit.changedAt) >= newLimitTime {
+			break
+		}
 		notices = append(notices, anvilmodel.RateLimitNotice{
 			Leaf:      l.leaf.Name,
 			StartedAt: l.leaf.StartedAt,
--- a/anvilbalance/ratelimit_test.go
+++ b/anvilbalance/ratelimit_test.go
@@ -358,13 +358,18 @@
 			PerSecond: 3,
 		}, start.Add(time.Duration(i)*time.Millisecond))
 	}
-	now := start.Add(time.Second)
-	notices := b.RateLimitsToAnnounce(now)
-	if len(notices) != 32 || notices[0].Leaf != "leaf-299" {
-		t.Errorf("%d limits are passed on, the first of %s, want 32 with the latest first", len(notices), notices[0].Leaf)
-	}
-	if notices := b.RateLimitsToAnnounce(start.Add(time.Minute)); len(notices) > 0 {
-		t.Errorf("%d limits are passed on a minute after the last reply", len(notices))
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{
+		{after: time.Second, want: 32},
+		{after: 8 * time.Second, want: 4},
+		{after: time.Minute, want: 0},
+	} {
+		notices := b.RateLimitsToAnnounce(start.Add(c.after))
+		if len(notices) != c.want || c.want > 0 && notices[0].Leaf != "leaf-299" {
+			t.Errorf("%d limits are passed on after %s, want %d with the latest first", len(notices), c.after, c.want)
+		}
 	}
 }
 
