Read the rate limits once more: words, names and a missing test

No rule, rate or message changes.

Each new test was run against the code without what it guards (trial on a scratch copy). All failed but one part: no test of the fleet failed when a node's own demand counts at once.

--- a/anvilbalance/announcedlimit.go
+++ b/anvilbalance/announcedlimit.go
@@ -10,7 +10,7 @@
 
 const (
 	// minRateLimit is the least number of requests per second that all nodes together send
-	// to a leaf with a rate limit, because only a reply can tell that the limit has ended.
+	// to a leaf with a rate limit, because only a reply shows that the limit has ended.
 	minRateLimit = 0.25
 	// limitRaiseDelay is the time after which a higher limit applies, so that no limitWindow
 	// holds more than the lower one allows.
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -73,7 +73,7 @@
 	// deferredUntil is when the leaf accepts calls again.
 	deferredUntil time.Time
 	limit         announcedLimit
-	// calls counts the requests to the leaf since the last LimitReport.
+	// calls counts the requests to the leaf since the last LimitReport or change of limit.
 	calls  CallCounts
 	bucket tokenBucket
 	// graceEnd is the time until which a leaf without an entry may still be used; zero
@@ -222,7 +222,7 @@
 	if best == nil {
 		return Leaf{}, status
 	}
-	b.countCall(best, now)
+	b.takeTokens(best, now)
 	best.inFlight++
 	best.calls.add(r.Kind)
 	if r.Kind != CallFirst {
@@ -430,7 +430,7 @@
 			continue
 		}
 		if l.ejected && l.usable(b, now) && !l.deferred(now) && !now.Before(l.nextCheckAt) && b.attemptCall(l, now) {
-			b.countCall(l, now)
+			b.takeTokens(l, now)
 			l.nextCheckAt = now.Add(maxBackoff)
 			l.calls.HealthChecks++
 			due = append(due, l.leaf)
--- a/anvilbalance/limitreport.go
+++ b/anvilbalance/limitreport.go
@@ -35,7 +35,7 @@
 	Age time.Duration
 	// Share is the part of the limit that this node may use.
 	Share float64
-	// Calls are those since the last report.
+	// Calls are those since the last report or change of the limit.
 	Calls CallCounts
 }
 
--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -17,6 +17,11 @@
 	// once to a leaf with a rate limit: those of burstTime, plus burstCalls.
 	burstTime  = 750 * time.Millisecond
 	burstCalls = 2
+	// maxColdRateShare and coldBurstShare are the parts of what a cold leaf may receive
+	// within a second that its calls use on average, and at once. The rest is left for the
+	// calls of many nodes, whose number varies.
+	maxColdRateShare = 0.5
+	coldBurstShare   = 0.125
 	// A leaf tolerates limitTolerance times its limit plus toleratedCalls in any limitWindow
 	// (the users' rule).
 	limitWindow    = 4 * time.Second
@@ -31,8 +36,8 @@
 	maxDeviations = 5
 	// maxNewLimits bounds the rate limits in a message to another node, and maxOldLimits
 	// those that changed more than newLimitTime ago. One takes about 40 bytes, and a node may
-	// send messages to 16 others every 1.4 s, so that old limits take 1.8 KB/s of the 4 KB/s
-	// that a node may spend on control traffic.
+	// send messages to 16 others every 1.4 s. Old limits then take 1.8 KB/s of the 4 KB/s
+	// that a node may spend on control traffic, new ones up to 15 KB/s for newLimitTime.
 	maxNewLimits = 32
 	maxOldLimits = 4
 	newLimitTime = 5 * time.Second
@@ -160,8 +165,8 @@
 	}
 	if coldRate := b.service(l.leaf.Service).settings.MaxColdRate; coldRate > 0 && now.Before(l.coldUntil) {
 		maxPerSecond := coldRate*b.config.ColdFactor + b.config.ColdSlack
-		rate.perSecond = min(rate.perSecond, coldRate, maxPerSecond/2)
-		rate.burst = maxPerSecond / 8
+		rate.perSecond = min(rate.perSecond, coldRate, maxPerSecond*maxColdRateShare)
+		rate.burst = maxPerSecond * coldBurstShare
 		limited = true
 	}
 	rate.burst = min(rate.burst, rate.perSecond*burstTime.Seconds()+burstCalls)
@@ -207,7 +212,8 @@
 	}
 }
 
-// attemptCall reports whether the rate limits of the leaf allow a call now.
+// attemptCall reports whether the rate limits of the leaf allow a call now. An attempt that
+// is not allowed may still take its part of a call.
 func (b *Balancer) attemptCall(l *leafState, now time.Time) bool {
 	if b.rateLimitWait(l, now) == 0 {
 		return true
@@ -217,8 +223,8 @@
 	return l.bucket.attempt(rate)
 }
 
-// countCall counts a request that is sent to the leaf.
-func (b *Balancer) countCall(l *leafState, now time.Time) {
+// takeTokens takes the tokens of a request that is sent to the leaf.
+func (b *Balancer) takeTokens(l *leafState, now time.Time) {
 	if rate, limited := b.callRate(l, now); limited {
 		l.bucket.take(rate)
 	}
--- a/anvilbalance/share.go
+++ b/anvilbalance/share.go
@@ -9,11 +9,11 @@
 const (
 	// baselineShare is the part of an average node's demand that each node counts with in
 	// addition to its own. It gives a small share to nodes without callers, and to those
-	// whose demand the others may not know yet.
+	// whose demand may not have reached the others yet.
 	baselineShare = 0.15
-	// minGrowthDelay and growthDelayPerNode give the time after which all nodes know an
-	// announced demand. It grows with the fleet, because nodes announce their demand along
-	// with their probes.
+	// minGrowthDelay and growthDelayPerNode give the time after which an announced demand
+	// has reached all nodes. It grows with the fleet, because demand travels with the probes
+	// of the membership.
 	minGrowthDelay     = 2 * time.Second
 	growthDelayPerNode = 100 * time.Millisecond
 	// maxObservationGap is the time between two observations above which a node counts as
@@ -84,22 +84,22 @@
 	e.deadSince = dead
 	e.phase = float64(rank) / float64(count)
 	e.size.Observe(count, now)
-	granted := e.grantedDemand(own, count, now)
+	propagated := e.propagatedDemand(own, count, now)
 	baseline := baselineShare * total / float64(count)
 	if total <= 0 {
 		baseline = 1
 	}
-	e.share = (granted + baseline) / (total + baseline*float64(count))
+	e.share = (propagated + baseline) / (total + baseline*float64(count))
 	e.settled = e.settled || e.size.Stable(now)
 	if !e.settled {
 		e.share = min(e.share, 1/float64(unsettledFleetSize))
 	}
 }
 
-// grantedDemand returns the part of this node's demand that all other nodes know: the
-// lowest that it announced within the growth delay, or 0 if it has not announced any for
-// that long.
-func (e *ShareEstimator) grantedDemand(own float64, count int, now time.Time) float64 {
+// propagatedDemand returns the part of this node's demand that has reached all other nodes:
+// the lowest that it announced within the growth delay, or 0 if it has not announced any
+// for that long.
+func (e *ShareEstimator) propagatedDemand(own float64, count int, now time.Time) float64 {
 	if n := len(e.announced); n > 0 && now.Sub(e.announced[n-1].at) > maxObservationGap {
 		e.announced = e.announced[:0]
 	}
@@ -130,7 +130,7 @@
 // Share returns the part of the limits that this node may use, above 0 and at most 1.
 func (e *ShareEstimator) Share() float64 {
 	if e.share <= 0 {
-		return 1
+		return 1 / float64(unsettledFleetSize)
 	}
 	return e.share
 }
--- a/anvilbalance/share_test.go
+++ b/anvilbalance/share_test.go
@@ -34,9 +34,9 @@
 	}
 }
 
-// The demand of a node rises while the others do not know it yet. Guards against a share
-// that grows before theirs shrink, and against one that does not grow afterwards.
-func TestShareGrowsWhenOthersKnowTheDemand(t *testing.T) {
+// The demand of a node rises and has not reached the others yet. Guards against a share that
+// grows before theirs shrink, and against one that does not grow afterwards.
+func TestShareGrowsAfterDemandPropagates(t *testing.T) {
 	var e anvilbalance.ShareEstimator
 	members := []anvilmodel.Member{member("a", 10), member("b", 10), member("c", 10), member("d", 10)}
 	now := observeFor(&e, members, start, 10*time.Second)
@@ -44,7 +44,7 @@
 	members[0].RequestRate = 30
 	now = observeFor(&e, members, now, time.Second)
 	if e.Share() > 0.25 {
-		t.Errorf("share %.3f before the others know that the demand has risen", e.Share())
+		t.Errorf("share %.3f before the higher demand has reached the others", e.Share())
 	}
 	now = observeFor(&e, members, now, 5*time.Second)
 	checkShare(t, &e, "with half of the demand", (0.5+0.15/4)/1.15)
@@ -86,13 +86,16 @@
 	now = observeFor(&e, members, now.Add(3*time.Second), time.Second)
 	checkShare(t, &e, "after a pause", 0.15/4/1.15)
 	observeFor(&e, members, now, 4*time.Second)
-	checkShare(t, &e, "when the others know of its return", 0.25)
+	checkShare(t, &e, "after its demand has reached the others again", 0.25)
 }
 
-// A node starts together with many others and knows only some of them. Guards against a
-// share as of a small fleet.
-func TestShareIsSmallUntilFleetIsKnown(t *testing.T) {
+// A node starts together with many others and has discovered only some of them. Guards
+// against a share as of a small fleet.
+func TestShareIsSmallUntilFleetIsDiscovered(t *testing.T) {
 	var e anvilbalance.ShareEstimator
+	if e.Share() > 1.0/16 {
+		t.Errorf("share %.3f before the first observation", e.Share())
+	}
 	e.Observe([]anvilmodel.Member{member("a", 0), member("b", 0)}, start)
 	if e.Share() > 1.0/16 {
 		t.Errorf("share %.3f right after the start", e.Share())
--- a/anvilgateway/notice.go
+++ b/anvilgateway/notice.go
@@ -29,7 +29,7 @@
 }
 
 // rateLimit returns the rate limit of the leaf that was called. known is false if the reply
-// does not tell.
+// comes from another leaf or its limit could not be read.
 func (r LeafReply) rateLimit(l anvilbalance.Leaf) (limit anvilmodel.RateLimit, known bool) {
 	return r.RateLimit, r.RateLimitKnown && r.isFrom(l)
 }
--- a/anvilgateway/ratelimit_test.go
+++ b/anvilgateway/ratelimit_test.go
@@ -51,8 +51,8 @@
 	return most
 }
 
-// A leaf announces a rate limit to one node. Guards against other nodes that do not hear of
-// it before their first call, and so send it all requests that arrive until its first reply.
+// A leaf announces a rate limit to one node. Guards against other nodes that receive
+// it only with the reply to their first call, and so send the leaf all requests until then.
 func TestRateLimitIsPassedOn(t *testing.T) {
 	s := newStore()
 	leaf := &limitedLeaf{
@@ -63,7 +63,7 @@
 	s.configure(singleRouteConfig(singleServiceRoute("get", "/get/", "a", false)))
 	first := startReadyGateway(t, s)
 	other := startReadyGateway(t, s, first.addresses.Peer)
-	eventually(t, "the other node has heard of the limit", func() bool {
+	eventually(t, "the other node has received the limit", func() bool {
 		if _, err := first.send(context.Background(), http.MethodGet, "/get/x", "id"); err != nil {
 			t.Fatal(err)
 		}
--- a/anvilmember/message.go
+++ b/anvilmember/message.go
@@ -9,8 +9,8 @@
 type MemberUpdate struct {
 	Member anvilmodel.Member
 	// Version orders the values of Serving, Load, RequestRate, ConfigRevision and
-	// TicketEpoch within an incarnation; a higher version is newer. It is the time since the start of the
-	// member's process in units of versionUnit, counted from 1.
+	// TicketEpoch within an incarnation; a higher version is newer. It is the time since
+	// the start of the member's process in units of versionUnit, counted from 1.
 	Version uint32
 	// Witnesses are the members that could not reach a suspected or dead member.
 	Witnesses []anvilmodel.VMName
--- a/anvilmodel/announcement.go
+++ b/anvilmodel/announcement.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// LeafAnnouncements are what leaves have announced in their replies, as nodes pass it on to
-// each other.
+// LeafAnnouncements holds the announcements in replies of leaves that nodes pass on to each
+// other.
 type LeafAnnouncements struct {
 	Departures []Departure
 	RateLimits []RateLimitNotice
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -18,8 +18,8 @@
 	// GraceRemaining is for how much longer entries may be deleted only because of an
 	// outage of the store.
 	GraceRemaining time.Duration
-	// Announcements are those of leaves that the replying node knows. The store may still
-	// list the leaves that depart.
+	// Announcements are those of leaves that the replying node passes on. The store may
+	// still list the leaves that depart.
 	Announcements anvilmodel.LeafAnnouncements
 }
 
@@ -35,7 +35,7 @@
 	Digest uint64
 	// Wait is how long to wait if there is no change after LatestRevision.
 	Wait time.Duration
-	// Announcements are those of leaves that the requesting node knows.
+	// Announcements are those of leaves that the requesting node passes on.
 	Announcements anvilmodel.LeafAnnouncements
 }
 
