--- a/anvilgateway/ratelimit_test.go
+++ b/anvilgateway/ratelimit_test.go
@@ -29,6 +29,18 @@
 	arrivals []time.Time
 }
 
+// startLimitedLeaf starts a leaf with a rate limit and configures a route to it.
+func startLimitedLeaf(t *testing.T, s *fakeStore, perSecond float64) *limitedLeaf {
+	t.Helper()
+	leaf := &limitedLeaf{
+		name:      "a1",
+		perSecond: perSecond,
+	}
+	s.register(startLeaf(t, leaf.name, "a", leaf.ServeHTTP))
+	s.configure(singleRouteConfig(singleServiceRoute("get", "/get/", "a", false)))
+	return leaf
+}
+
 func (l *limitedLeaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	l.arrivals = append(l.arrivals, time.Now())
@@ -55,12 +67,7 @@
 // it only with the reply to their first call, and so send the leaf all requests until then.
 func TestRateLimitIsPassedOn(t *testing.T) {
 	s := newStore()
-	leaf := &limitedLeaf{
-		name:      "a1",
-		perSecond: 2,
-	}
-	s.register(startLeaf(t, leaf.name, "a", leaf.ServeHTTP))
-	s.configure(singleRouteConfig(singleServiceRoute("get", "/get/", "a", false)))
+	startLimitedLeaf(t, s, 2)
 	first := startReadyGateway(t, s)
 	other := startReadyGateway(t, s, first.addresses.Peer)
 	eventually(t, "the other node has received the limit", func() bool {
@@ -76,12 +83,7 @@
 // a leaf that cannot take their request, and against a refusal without a retry delay.
 func TestAnnouncedRateLimitHoldsOverAllNodes(t *testing.T) {
 	s := newStore()
-	leaf := &limitedLeaf{
-		name:      "a1",
-		perSecond: 2,
-	}
-	s.register(startLeaf(t, leaf.name, "a", leaf.ServeHTTP))
-	s.configure(singleRouteConfig(singleServiceRoute("get", "/get/", "a", false)))
+	leaf := startLimitedLeaf(t, s, 2)
 	nodes := []*testGateway{startReadyGateway(t, s)}
 	for range 2 {
 		nodes = append(nodes, startReadyGateway(t, s, nodes[0].addresses.Peer))
