--- /dev/null
+++ b/review/_standin/deferral.go
@@ -0,0 +1,3 @@
+package main
+
+func playDeferral(*record, bool) outcome { return outcome{} }
