Add review case 2: a cold leaf is flooded after its restart

The gateway ignores the warm-up time in health responses. A leaf that starts again under its name gets its full share as soon as a health check succeeds, until its next status report.

--- a/review/_standin/caller.go
+++ b/review/_standin/caller.go
@@ -35,8 +35,12 @@
 // callers are the clients of a case. They ask the directories for addresses and send
 // requests one after the other.
 type callers struct {
+	// name begins the names of the requests.
+	name   string
 	fleet  *fleet
 	record *record
+	// method and path are those of the requests.
+	method string
 	path   string
 	// budget is the time budget of a request, and pause the time between two requests of a
 	// client.
@@ -50,8 +54,10 @@
 	requests    atomic.Int64
 	served      atomic.Int64
 	unconnected atomic.Int64
-	stopped     chan struct{}
-	running     sync.WaitGroup
+	// uncertain counts the attempts whose answer does not say whether they have run.
+	uncertain atomic.Int64
+	stopped   chan struct{}
+	running   sync.WaitGroup
 }
 
 // start starts clients, spread over the zones.
@@ -90,7 +96,7 @@
 		}
 		// Clients do not use an address again that has failed them since the last answer of a
 		// directory.
-		addresses = c.request(client, random, fmt.Sprintf("c%d-%d", number, i), addresses)
+		addresses = c.request(client, random, fmt.Sprintf("%s%d-%d", c.name, number, i), addresses)
 	}
 }
 
@@ -161,13 +167,17 @@
 	return addresses, time.Duration(lifetime * float64(time.Second)), true
 }
 
-// request sends a request, and repeats it once at another address. It returns the addresses
-// that have not failed.
+// request sends a request, and repeats it once at another address if it is idempotent. It
+// returns the addresses that have not failed.
 func (c *callers) request(client *http.Client, random *rand.Rand, id string, addresses []string) []string {
 	deadline := time.Now().Add(c.budget)
 	left := slices.Clone(addresses)
 	c.requests.Add(1)
-	for attempt := range 2 {
+	attempts := 2
+	if c.method != http.MethodGet {
+		attempts = 1
+	}
+	for attempt := range attempts {
 		if len(left) == 0 {
 			return left
 		}
@@ -188,7 +198,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+c.path, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, http.NoBody)
 	if err != nil {
 		return false
 	}
@@ -204,8 +214,11 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	served := err == nil && resp.StatusCode == http.StatusOK && resp.Header.Get(word("header-signature")) != ""
-	if served {
+	switch {
+	case served:
 		c.served.Add(1)
+	case resp.StatusCode == http.StatusBadGateway, resp.StatusCode == http.StatusGatewayTimeout:
+		c.uncertain.Add(1)
 	}
 	c.record.add("client: request %s to %s: %d, %d bytes", id, address, resp.StatusCode, len(body))
 	return served
--- a/review/_standin/configuration.go
+++ b/review/_standin/configuration.go
@@ -15,8 +15,9 @@
 	}
 }
 
-// service returns the settings of a service.
-func service(name string) map[string]any {
+// service returns the settings of a service whose cold leaves tolerate the given number of
+// requests in a second.
+func service(name string, coldRate float64) map[string]any {
 	return map[string]any{
 		"name":                  name,
 		"health_path":           healthPath,
@@ -24,7 +25,7 @@
 		"protocol":              "h1",
 		"tls":                   false,
 		word("field-cold-time"): 3.0,
-		word("field-cold-rate"): 0.0,
+		word("field-cold-rate"): coldRate,
 	}
 }
 
--- a/review/_standin/directory.go
+++ b/review/_standin/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -46,7 +47,7 @@
 		leaves = append(leaves, l)
 	}
 	s.put(word("key-configuration"), configuration(7,
-		[]any{route("r-order", "/order/", "type-idempotent", "depot")}, []any{service("depot")}))
+		[]any{route("r-order", "/order/", "type-idempotent", "depot")}, []any{service("depot", 0)}))
 	f, err := newFleet(r, 4, s.address)
 	if err != nil {
 		return outcome{err: err}
@@ -57,8 +58,10 @@
 		return outcome{err: err}
 	}
 	c := &callers{
+		name:   "c",
 		fleet:  f,
 		record: r,
+		method: http.MethodGet,
 		path:   "/order/a",
 		budget: 2 * time.Second,
 		pause:  150 * time.Millisecond,
--- a/review/_standin/leaf.go
+++ b/review/_standin/leaf.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -28,10 +29,16 @@
 	// turnAway, if set, decides whether a request is turned away, with the headers that it
 	// adds to the reply. It is called with mu held.
 	turnAway func(l *leaf, now time.Time, h http.Header) bool
+	// warmUp is how long the leaf is cold after a restart, and crashRate the number of
+	// requests within a second at which it crashes while it is cold.
+	warmUp    time.Duration
+	crashRate int
 
-	mu       sync.Mutex
-	running  int
-	arrivals []arrival
+	mu        sync.Mutex
+	coldUntil time.Time
+	crashed   chan struct{}
+	running   int
+	arrivals  []arrival
 }
 
 // arrival is a request that reached a leaf.
@@ -48,11 +55,59 @@
 	}
 	l.address = listener.Addr().String()
 	l.born = time.Now().UnixMilli()
-	l.server = &http.Server{
+	l.serve(listener)
+	l.register()
+	return nil
+}
+
+// serve starts a lifetime of the leaf.
+func (l *leaf) serve(listener net.Listener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	server := &http.Server{
 		Handler: l,
 	}
-	go func() { _ = l.server.Serve(listener) }()
-	l.register()
+	l.server = server
+	l.crashed = make(chan struct{})
+	l.running = 0
+	go func() { _ = server.Serve(listener) }()
+}
+
+// crash ends the lifetime: the leaf resets its connections and says nothing.
+func (l *leaf) crash() {
+	l.mu.Lock()
+	server := l.server
+	select {
+	case <-l.crashed:
+	default:
+		l.record.add("leaf %s: crashes, with %d requests running", l.id, l.running)
+		close(l.crashed)
+	}
+	l.mu.Unlock()
+	_ = server.Close()
+}
+
+// restart starts the leaf again under its name and address. It is cold then. Its status
+// report follows after the given time.
+func (l *leaf) restart(report time.Duration) error {
+	listener, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.born = time.Now().UnixMilli()
+	l.coldUntil = time.Now().Add(l.warmUp)
+	l.mu.Unlock()
+	l.serve(listener)
+	l.record.add("leaf %s: starts again at %s, cold for %s", l.id, l.address, l.warmUp)
+	crashed := l.crashed
+	time.AfterFunc(report, func() {
+		select {
+		case <-crashed:
+		default:
+			l.register()
+		}
+	})
 	return nil
 }
 
@@ -62,6 +117,10 @@
 
 // register writes the entry of the leaf to the store.
 func (l *leaf) register() {
+	l.mu.Lock()
+	cold := max(time.Until(l.coldUntil), 0).Milliseconds()
+	born := l.born
+	l.mu.Unlock()
 	l.store.put(l.key(), map[string]any{
 		"service":           l.service,
 		"address":           l.address,
@@ -69,9 +128,9 @@
 		"version":           "v1",
 		word("field-slots"): l.slots,
 		"state":             "ready",
-		word("field-cold"):  0,
+		word("field-cold"):  cold,
 		"sequence":          1,
-		"born":              l.born,
+		"born":              born,
 	})
 }
 
@@ -79,7 +138,7 @@
 func (l *leaf) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	if r.URL.Path == healthPath {
-		h.Set(word("header-instance"), l.id)
+		l.serveHealth(h)
 		return
 	}
 	id := r.Header.Get(word("header-request"))
@@ -105,6 +164,8 @@
 	if !turnedAway {
 		l.running++
 	}
+	crashes := l.crashRate > 0 && now.Before(l.coldUntil) && l.countSince(now.Add(-time.Second)) > l.crashRate
+	crashed := l.crashed
 	load := fmt.Sprintf("%d,0,%d", l.running, l.slots)
 	l.mu.Unlock()
 	h.Set(word("header-load"), load)
@@ -116,7 +177,14 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	l.record.add("leaf %s: runs request %s", l.id, id)
-	time.Sleep(l.work)
+	if crashes {
+		go l.crash()
+	}
+	select {
+	case <-crashed:
+		panic(http.ErrAbortHandler)
+	case <-time.After(l.work):
+	}
 	l.mu.Lock()
 	l.running--
 	l.mu.Unlock()
@@ -124,6 +192,30 @@
 	_, _ = io.WriteString(w, "answer of "+l.service+" to "+id)
 }
 
+// serveHealth answers a health check.
+func (l *leaf) serveHealth(h http.Header) {
+	h.Set(word("header-instance"), l.id)
+	l.mu.Lock()
+	cold := max(time.Until(l.coldUntil), 0).Milliseconds()
+	l.mu.Unlock()
+	if cold > 0 {
+		h.Set(word("header-cold"), strconv.FormatInt(cold, 10))
+	}
+	l.record.add("leaf %s: health check, cold for %d ms", l.id, cold)
+}
+
+// countSince returns the number of requests that ran since a moment. The caller must hold
+// mu.
+func (l *leaf) countSince(from time.Time) int {
+	count := 0
+	for i := len(l.arrivals) - 1; i >= 0 && l.arrivals[i].at.After(from); i-- {
+		if l.arrivals[i].ran {
+			count++
+		}
+	}
+	return count
+}
+
 // formatHeader formats the headers by which a leaf announces something.
 func formatHeader(h http.Header) string {
 	var text []string
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -26,8 +26,9 @@
 }
 
 var cases = map[string]func(r *record, trouble bool) outcome{
-	"directory": playDirectory,
-	"deferral":  playDeferral,
+	"directory":  playDirectory,
+	"cold-start": playColdStart,
+	"deferral":   playDeferral,
 }
 
 func main() {
