Add review case 4: a deferral is forgotten when an entry lapses

The balancer keeps the deferral of a leaf with its entry only, while it keeps its rate limit and its departure beyond that. A busy leaf that misses status reports gets requests again that it has turned away for a time.

--- a/review/_standin/caller.go
+++ b/review/_standin/caller.go
@@ -56,8 +56,10 @@
 	unconnected atomic.Int64
 	// uncertain counts the attempts whose answer does not say whether they have run.
 	uncertain atomic.Int64
-	stopped   chan struct{}
-	running   sync.WaitGroup
+	// sentAt holds when each attempt was sent.
+	sentAt  sync.Map
+	stopped chan struct{}
+	running sync.WaitGroup
 }
 
 // start starts clients, spread over the zones.
@@ -182,7 +184,12 @@
 			return left
 		}
 		i := random.IntN(len(left))
-		if c.attempt(client, left[i], id+"-"+strconv.Itoa(attempt), deadline) {
+		name := id + "-" + strconv.Itoa(attempt)
+		if m := c.fleet.machineAt(left[i]); m != nil {
+			// The name tells which machine passes the attempt on.
+			name += "@" + m.name
+		}
+		if c.attempt(client, left[i], name, deadline) {
 			return left
 		}
 		left = slices.Delete(left, i, i+1)
@@ -205,6 +212,7 @@
 	req.Host = hostName
 	req.Header.Set(word("header-request"), id)
 	req.Header.Set(word("header-timeout"), strconv.FormatInt(remaining.Milliseconds(), 10))
+	c.sentAt.Store(id, time.Now())
 	resp, err := client.Do(req)
 	if err != nil {
 		c.unconnected.Add(1)
@@ -224,6 +232,12 @@
 	return served
 }
 
+// sentAfter reports whether an attempt was sent after a moment.
+func (c *callers) sentAfter(id string, after time.Time) bool {
+	at, ok := c.sentAt.Load(id)
+	return ok && at.(time.Time).After(after)
+}
+
 // answersAfter returns the answers that a machine's directory gave after a moment.
 func (c *callers) answersAfter(m *machine, after time.Time) []directoryAnswer {
 	c.mu.Lock()
--- a/review/_standin/coldstart.go
+++ b/review/_standin/coldstart.go
@@ -54,7 +54,7 @@
 		route("r-order", "/order/", "type-idempotent", "depot"),
 		route("r-book", "/book/", "type-non-idempotent", "depot"),
 	}, []any{service("depot", coldRate)}))
-	f, err := newFleet(r, 4, s.address)
+	f, err := newFleet(r, 4, func(int) string { return s.address })
 	if err != nil {
 		return outcome{err: err}
 	}
--- a/review/_standin/directory.go
+++ b/review/_standin/directory.go
@@ -48,7 +48,7 @@
 	}
 	s.put(word("key-configuration"), configuration(7,
 		[]any{route("r-order", "/order/", "type-idempotent", "depot")}, []any{service("depot", 0)}))
-	f, err := newFleet(r, 4, s.address)
+	f, err := newFleet(r, 4, func(int) string { return s.address })
 	if err != nil {
 		return outcome{err: err}
 	}
--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -66,8 +66,9 @@
 	dir      string
 }
 
-// newFleet writes the settings of gateways, each on a loopback address of its own.
-func newFleet(r *record, count int, storeAddress string) (*fleet, error) {
+// newFleet writes the settings of gateways, each on a loopback address of its own. Each
+// machine reaches the store at the address that storeAddress returns.
+func newFleet(r *record, count int, storeAddress func(machine int) string) (*fleet, error) {
 	command, err := deployCommand()
 	if err != nil {
 		return nil, err
@@ -99,7 +100,7 @@
 		}
 	}
 	settings := template.Must(template.New("settings").Parse(settingsTemplate))
-	for _, m := range f.machines {
+	for i, m := range f.machines {
 		m.settings = filepath.Join(dir, m.name+".yaml")
 		var text strings.Builder
 		if err := settings.Execute(&text, map[string]any{
@@ -108,7 +109,7 @@
 			"Zone":  m.zone,
 			"Ports": m.ports,
 			"Seeds": seeds,
-			"Store": storeAddress,
+			"Store": storeAddress(i),
 		}); err != nil {
 			return nil, err
 		}
@@ -122,6 +123,16 @@
 	return f, nil
 }
 
+// machineAt returns the machine with the front address.
+func (f *fleet) machineAt(front string) *machine {
+	for _, m := range f.machines {
+		if m.front() == front {
+			return m
+		}
+	}
+	return nil
+}
+
 // deployCommand returns the command of the deploy file.
 func deployCommand() ([]string, error) {
 	file, err := os.Open("deploy/system.toml")
--- a/review/_standin/leaf.go
+++ b/review/_standin/leaf.go
@@ -35,6 +35,7 @@
 	crashRate int
 
 	mu        sync.Mutex
+	state     string
 	coldUntil time.Time
 	crashed   chan struct{}
 	running   int
@@ -55,6 +56,7 @@
 	}
 	l.address = listener.Addr().String()
 	l.born = time.Now().UnixMilli()
+	l.state = "ready"
 	l.serve(listener)
 	l.register()
 	return nil
@@ -73,6 +75,16 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
+// drain reports that the leaf is leaving, and returns when the store has acknowledged that.
+// The leaf serves on.
+func (l *leaf) drain() time.Time {
+	l.mu.Lock()
+	l.state = "draining"
+	l.mu.Unlock()
+	l.register()
+	return time.Now()
+}
+
 // crash ends the lifetime: the leaf resets its connections and says nothing.
 func (l *leaf) crash() {
 	l.mu.Lock()
@@ -95,6 +107,7 @@
 		return err
 	}
 	l.mu.Lock()
+	l.state = "ready"
 	l.born = time.Now().UnixMilli()
 	l.coldUntil = time.Now().Add(l.warmUp)
 	l.mu.Unlock()
@@ -119,7 +132,7 @@
 func (l *leaf) register() {
 	l.mu.Lock()
 	cold := max(time.Until(l.coldUntil), 0).Milliseconds()
-	born := l.born
+	born, state := l.born, l.state
 	l.mu.Unlock()
 	l.store.put(l.key(), map[string]any{
 		"service":           l.service,
@@ -127,7 +140,7 @@
 		"zone":              l.zone,
 		"version":           "v1",
 		word("field-slots"): l.slots,
-		"state":             "ready",
+		"state":             state,
 		word("field-cold"):  cold,
 		"sequence":          1,
 		"born":              born,
@@ -171,6 +184,7 @@
 	h.Set(word("header-load"), load)
 	if turnedAway {
 		l.record.add("leaf %s: turns request %s away, %s", l.id, id, formatHeader(h))
+		time.Sleep(rejectionTime)
 		h.Set(word("header-not-run"), "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -29,6 +29,7 @@
 	"directory":  playDirectory,
 	"cold-start": playColdStart,
 	"deferral":   playDeferral,
+	"readers":    playReaders,
 }
 
 func main() {
