--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/anvilbridge ] && [ -x target/review-stand-in ] || exit 2
-exec target/review-stand-in cold-start review/2
+exec target/review-stand-in directory review/2
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -26,10 +26,11 @@
 }
 
 var cases = map[string]func(r *record, trouble bool) outcome{
-	"directory":  playDirectory,
-	"cold-start": playColdStart,
-	"deferral":   playDeferral,
-	"readers":    playReaders,
+	"directory":             playDirectory,
+	"cold-start":            playColdStart,
+	"deferral":              playDeferral,
+	"readers-drain":         playReadersDrain,
+	"readers-configuration": playReadersConfiguration,
 }
 
 func main() {
--- a/review/_standin/readers.go
+++ b/review/_standin/readers.go
@@ -18,14 +18,14 @@
 	rejections = 8
 	// machines is the number of machines, and turnedAway that of those that the store turns
 	// away: less than 0.35 of all.
-	machines   = 13
-	turnedAway = 4
+	machines   = 20
+	turnedAway = 6
 )
 
 // rosters are the services to which the operator moves a route by turns.
 var rosters = []string{"roster-a", "roster-b"}
 
-// readersCase is the state of a run of playReaders.
+// readersCase is the state of a run.
 type readersCase struct {
 	record *record
 	store  *store
@@ -38,20 +38,45 @@
 	lists   *callers
 	version int
 
-	lateAtLeaf    int
-	latestAtLeaf  time.Duration
-	oldService    int
-	latestService time.Duration
+	// late counts the requests that broke the rule. latest is the time from the
+	// acknowledgement to the last of them.
+	late   int
+	latest time.Duration
 }
 
-// playReaders makes the store silent towards those machines that read it. Meanwhile a leaf
-// drains or the operator moves a route, by turns. The other machines reach the store all the
-// time.
-func playReaders(r *record, trouble bool) outcome {
-	s, err := startStore(r)
+// playReadersDrain lets leaves drain while the store turns its readers away.
+func playReadersDrain(r *record, trouble bool) outcome {
+	p, err := runReaders(r, trouble, (*readersCase).playDrain)
 	if err != nil {
 		return outcome{err: err}
 	}
+	return outcome{
+		broken: p.late > 0,
+		summary: fmt.Sprintf("from machines in touch, %d requests reached a draining leaf later than %s after its report was acknowledged, the last after %.1f s; %d of %d requests were served",
+			p.late, drainTime, p.latest.Seconds(), p.served(), p.requested()),
+	}
+}
+
+// playReadersConfiguration moves a route while the store turns its readers away.
+func playReadersConfiguration(r *record, trouble bool) outcome {
+	p, err := runReaders(r, trouble, (*readersCase).playConfiguration)
+	if err != nil {
+		return outcome{err: err}
+	}
+	return outcome{
+		broken: p.late > 0,
+		summary: fmt.Sprintf("machines in touch let the service of an older configuration run %d requests that were sent later than %s after a configuration was acknowledged, the last %.1f s after it; %d of %d requests were served",
+			p.late, applyTime, p.latest.Seconds(), p.served(), p.requested()),
+	}
+}
+
+// runReaders makes the store silent towards those machines that read it, and meanwhile does
+// planned work. The other machines reach the store all the time.
+func runReaders(r *record, trouble bool, work func(p *readersCase, rejected []int) error) (*readersCase, error) {
+	s, err := startStore(r)
+	if err != nil {
+		return nil, err
+	}
 	defer func() { _ = s.server.Close() }()
 	p := &readersCase{
 		record:  r,
@@ -62,56 +87,53 @@
 	defer p.stopLeaves()
 	for range 4 {
 		if err := p.addDepot(); err != nil {
-			return outcome{err: err}
+			return nil, err
 		}
 	}
 	for _, name := range rosters {
 		if p.rosters[name], err = p.newLeaf("i-"+name, name, zones[0]); err != nil {
-			return outcome{err: err}
+			return nil, err
 		}
 	}
 	p.configure()
 	for range machines {
 		l, err := startLink(s.address)
 		if err != nil {
-			return outcome{err: err}
+			return nil, err
 		}
 		defer l.close()
 		p.links = append(p.links, l)
 	}
 	if p.fleet, err = newFleet(r, machines, func(i int) string { return p.links[i].address }); err != nil {
-		return outcome{err: err}
+		return nil, err
 	}
-	broken := false
-	defer func() { p.fleet.stop(broken) }()
+	defer func() { p.fleet.stop(p.late > 0) }()
 	if err := p.fleet.startAll(10 * time.Second); err != nil {
-		return outcome{err: err}
+		return nil, err
 	}
 	p.orders = p.newCallers("order", 12)
 	p.lists = p.newCallers("list", 6)
+	defer p.orders.stop()
+	defer p.lists.stop()
 	time.Sleep(5 * time.Second)
-	for round := range rejections {
+	for range rejections {
 		rejected := busiestLinks(p.links, stability)[:turnedAway]
 		p.setSilent(rejected, trouble)
-		if round%3 != 2 {
-			err = p.playDrain(rejected)
-		} else {
-			p.playConfiguration(rejected)
-		}
+		err := work(p, rejected)
 		p.setSilent(rejected, false)
 		if err != nil {
-			return outcome{err: err}
+			return nil, err
 		}
 	}
-	p.orders.stop()
-	p.lists.stop()
-	broken = p.lateAtLeaf > 0
-	return outcome{
-		broken: broken,
-		summary: fmt.Sprintf("from machines in touch, %d requests reached a draining leaf later than %s after its report was acknowledged (the last after %.1f s), and %d that were sent later than %s after a configuration was acknowledged were run by the service before it (the last after %.1f s); %d of %d requests were served",
-			p.lateAtLeaf, drainTime, p.latestAtLeaf.Seconds(), p.oldService, applyTime, p.latestService.Seconds(),
-			p.orders.served.Load()+p.lists.served.Load(), p.orders.requests.Load()+p.lists.requests.Load()),
-	}
+	return p, nil
+}
+
+func (p *readersCase) served() int64 {
+	return p.orders.served.Load() + p.lists.served.Load()
+}
+
+func (p *readersCase) requested() int64 {
+	return p.orders.requests.Load() + p.lists.requests.Load()
 }
 
 func (p *readersCase) newLeaf(id, service, zone string) (*leaf, error) {
@@ -199,8 +221,8 @@
 	time.Sleep(rejection)
 	for _, a := range drained.arrivalsBetween(ackedAt.Add(drainTime), time.Now()) {
 		if !p.passedBy(a.id, rejected) {
-			p.lateAtLeaf++
-			p.latestAtLeaf = max(p.latestAtLeaf, a.at.Sub(ackedAt))
+			p.late++
+			p.latest = max(p.latest, a.at.Sub(ackedAt))
 			p.record.add("leaf %s: request %s reached it %s after its report was acknowledged", drained.id, a.id, a.at.Sub(ackedAt))
 		}
 	}
@@ -209,17 +231,18 @@
 }
 
 // playConfiguration moves a route while the store turns machines away.
-func (p *readersCase) playConfiguration(rejected []int) {
+func (p *readersCase) playConfiguration(rejected []int) error {
 	before := p.rosters[p.listService()]
 	ackedAt := p.configure()
 	time.Sleep(rejection)
 	for _, a := range before.arrivalsBetween(ackedAt.Add(applyTime), time.Now()) {
 		if !p.passedBy(a.id, rejected) && p.lists.sentAfter(a.id, ackedAt.Add(applyTime)) {
-			p.oldService++
-			p.latestService = max(p.latestService, a.at.Sub(ackedAt))
+			p.late++
+			p.latest = max(p.latest, a.at.Sub(ackedAt))
 			p.record.add("leaf %s: runs request %s %s after the configuration was acknowledged", before.id, a.id, a.at.Sub(ackedAt))
 		}
 	}
+	return nil
 }
 
 // busiestLinks returns the indexes of the links, those first over which most was sent to the
