--- a/review/_standin/coldstart.go
+++ b/review/_standin/coldstart.go
@@ -18,13 +18,17 @@
 	// downTime is how long the crashed leaf is away. Its entry stays in the store, because it
 	// is removed only after three status report intervals.
 	downTime = 1200 * time.Millisecond
+	// maxCrashes is how often the leaf crashes, until the rule is broken, and settleTime the
+	// time between its warm-up and the next crash.
+	maxCrashes = 3
+	settleTime = 3 * time.Second
 	// reportInterval is the status report interval of the settings. The first report of a
 	// leaf follows within it.
 	reportInterval = 1200 * time.Millisecond
 )
 
-// playColdStart crashes a leaf once. It starts again under its name, cold, and says so in
-// its health responses.
+// playColdStart crashes a leaf, which starts again under its name, cold, and says so in its
+// health responses.
 func playColdStart(r *record, trouble bool) outcome {
 	s, err := startStore(r)
 	if err != nil {
@@ -85,9 +89,10 @@
 	bookings.start(3)
 	time.Sleep(12 * time.Second)
 	crashing := leaves[0]
-	most := 0
+	most, crashes := 0, 0
 	crashedAgain := false
-	if trouble {
+	for trouble && crashes < maxCrashes && most <= coldBound {
+		crashes++
 		crashing.crash()
 		time.Sleep(downTime)
 		startedAt := time.Now()
@@ -97,9 +102,9 @@
 		select {
 		case <-crashing.crashed:
 			crashedAgain = true
-		case <-time.After(warmUpTime):
+		case <-time.After(warmUpTime + settleTime):
 		}
-		most = busiestSecond(crashing.arrivalsBetween(startedAt, startedAt.Add(warmUpTime)))
+		most = max(most, busiestSecond(crashing.arrivalsBetween(startedAt, startedAt.Add(warmUpTime))))
 	}
 	time.Sleep(3 * time.Second)
 	reads.stop()
@@ -107,8 +112,8 @@
 	broken = most > coldBound
 	return outcome{
 		broken: broken,
-		summary: fmt.Sprintf("the cold leaf got up to %d requests in one second (%d are allowed), it crashed under them: %t; %d of %d reads and %d of %d bookings were served, %d bookings got an answer that leaves open whether they have run",
-			most, coldBound, crashedAgain, reads.served.Load(), reads.requests.Load(), bookings.served.Load(), bookings.requests.Load(), bookings.uncertain.Load()),
+		summary: fmt.Sprintf("the cold leaf got up to %d requests in one second (%d are allowed) after crash %d, it crashed under them: %t; %d of %d reads and %d of %d bookings were served, %d bookings got an answer that leaves open whether they have run",
+			most, coldBound, crashes, crashedAgain, reads.served.Load(), reads.requests.Load(), bookings.served.Load(), bookings.requests.Load(), bookings.uncertain.Load()),
 	}
 }
 
--- a/review/_standin/readers.go
+++ b/review/_standin/readers.go
@@ -12,10 +12,11 @@
 	// drainTime is the bound drain_ms of the settings, and applyTime config_apply_ms.
 	drainTime = 3 * time.Second
 	applyTime = 3 * time.Second
-	// rejection is how long the store turns machines away.
-	rejection = 7 * time.Second
-	// rejections is how often it does so in a run.
-	rejections = 8
+	// drainRejection and configurationRejection are how long the store turns machines away
+	// while a leaf drains and while a route is moved. It does so again and again for playTime.
+	drainRejection         = 7 * time.Second
+	configurationRejection = 5 * time.Second
+	playTime               = 84 * time.Second
 	// machines is the number of machines, and turnedAway that of those that the store turns
 	// away: less than 0.35 of all.
 	machines   = 20
@@ -116,7 +117,7 @@
 	defer p.orders.stop()
 	defer p.lists.stop()
 	time.Sleep(5 * time.Second)
-	for range rejections {
+	for end := time.Now().Add(playTime); time.Now().Before(end); {
 		rejected := busiestLinks(p.links, stability)[:turnedAway]
 		p.setSilent(rejected, trouble)
 		err := work(p, rejected)
@@ -218,7 +219,7 @@
 	if err := p.addDepot(); err != nil {
 		return err
 	}
-	time.Sleep(rejection)
+	time.Sleep(drainRejection)
 	for _, a := range drained.arrivalsBetween(ackedAt.Add(drainTime), time.Now()) {
 		if !p.passedBy(a.id, rejected) {
 			p.late++
@@ -234,7 +235,7 @@
 func (p *readersCase) playConfiguration(rejected []int) error {
 	before := p.rosters[p.listService()]
 	ackedAt := p.configure()
-	time.Sleep(rejection)
+	time.Sleep(configurationRejection)
 	for _, a := range before.arrivalsBetween(ackedAt.Add(applyTime), time.Now()) {
 		if !p.passedBy(a.id, rejected) && p.lists.sentAfter(a.id, ackedAt.Add(applyTime)) {
 			p.late++
