Read the store through other nodes when it turns its readers away

Cause: readers were the first live members by hash, whether the store answered them or not. The others noticed by the age of their copies and then read the store by chance, 2/n in each round, and what they read did not reach the rest, who went on polling the readers. A rejected reader also took this for an outage and passed a grace period on in which deleted leaves stay in use.

Change: polls carry who has read the store, how long ago, and who has lost it. A reader resigns as soon as a read is overdue. While readers are missing, the next nodes by hash try in rounds of 4, 8, 16 and 32, and the first two that succeed are the readers and the roots of the replication tree. A change of readers wakes all waiting polls. The grace period needs an outage: a node lost the store and no node has read it for 2 s. An age of -1 ns became 0 on the wire, so that a copy that was never confirmed counted as fresh; it stays negative.

Tests: TestChangesTakeEffectWhileReadersAreRejected failed on (11 of 26 nodes behind after 3 s) and passes from 4 to 410 nodes. TestFewNodesCallRejectingStore: 121 calls in 9 s with 20 nodes, 157 with 117, 187 with 410 (virtual time).

TestReadersDoNotDependOnServing calls the new function for the same check, since the old one is gone.

--- a/anvilcapacity/address.go
+++ b/anvilcapacity/address.go
@@ -50,7 +50,7 @@
 		})/rounds)
 		places.Values = append(places.Values, leastCPU(func() {
 			for range rounds {
-				anvilmirror.TreePositionOf(members, copyReaders, anvilmirror.FanOut)
+				anvilmirror.TreePositionOf(members, nil, copyReaders, anvilmirror.FanOut)
 			}
 		})/rounds)
 		looks.Values = append(looks.Values, leastCPU(func() {
--- a/anvilcapacity/copy.go
+++ b/anvilcapacity/copy.go
@@ -170,10 +170,20 @@
 		Target{What: "all nodes", Size: designNodes, Unit: "reads/s", Limit: designReads})
 	for _, n := range fleets.list {
 		members := designMembers(n)
+		// All nodes have read the store at their start.
+		now := time.Now()
+		table := anvilmirror.NewReaderTable(anvilmirror.ReaderConfig{
+			Count:    copyReaders,
+			FanOut:   anvilmirror.FanOut,
+			Lifetime: func(int) time.Duration { return time.Second },
+		})
+		for _, m := range members {
+			table.RecordSuccess(m.Name, now)
+		}
 		readers := 0
 		for i := range members {
 			members[0], members[i] = members[i], members[0]
-			if anvilmirror.IsReader(members, copyReaders) {
+			if table.Role(members, now).Reads {
 				readers++
 			}
 			members[0], members[i] = members[i], members[0]
--- a/anvilfollower/config.go
+++ b/anvilfollower/config.go
@@ -37,9 +37,6 @@
 	initialReadInterval = 300 * time.Millisecond
 	// maxInitialReads bounds the number of reads of a node without a copy.
 	maxInitialReads = 6
-	// startupOutageDelay is how long the store may take to answer a node that has just
-	// loaded its first copy before it counts as unreachable.
-	startupOutageDelay = 50 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the time between two reads of a store that
 	// does not answer.
 	minRetryDelay = 50 * time.Millisecond
@@ -57,13 +54,6 @@
 	// should have confirmed it within verifyInterval. Each level below adds up to one
 	// wait.
 	maxCopyAge = 1500 * time.Millisecond
-	// directReadTime is how long a node reads the store itself after it has found no other
-	// node with a fresh copy.
-	directReadTime = 5 * time.Second
-	// extraReaders is the expected number of nodes that start to read the store themselves
-	// in one round of polls while no copy is fresh. It bounds the calls of a large fleet
-	// to a failing store.
-	extraReaders = 2
 	// settleTime is how long a node that has just loaded its copy waits to discover other
 	// readers. Without it every node of a starting fleet would watch and verify.
 	settleTime = 2500 * time.Millisecond
@@ -102,6 +92,8 @@
 	FetchChanges func(ctx context.Context, address netip.AddrPort, request anvilpeer.PublishedRequest) (anvilpeer.PublishedReply, error)
 	// Members returns this node's view of the fleet, itself first.
 	Members func() []anvilmodel.Member
+	// Roles is shared by the followers of a node.
+	Roles *Roles
 	// Apply applies changes. It is not called concurrently.
 	Apply func(Batch)
 	// Announcements returns the announcements of leaves to pass on to other nodes.
@@ -111,7 +103,7 @@
 	MergeAnnouncements func(anvilmodel.LeafAnnouncements) bool
 	// CountRead counts a read of the store or of another node.
 	CountRead func(kind string, ok bool)
-	// Random delays reads and decides which nodes read a failing store.
+	// Random delays reads.
 	Random *rand.Rand
 	Log    zerolog.Logger
 }
--- a/anvilfollower/errors.go
+++ b/anvilfollower/errors.go
@@ -8,3 +8,6 @@
 // HistoryGone means that the store has dropped the changes after a revision, so that all
 // items have to be read again.
 var HistoryGone = Errors.NewType("history-gone")
+
+// StoreOverdue means that the store has not answered a read for much longer than usual.
+var StoreOverdue = Errors.NewType("store-overdue")
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -33,16 +33,10 @@
 	// another node with a fresh copy, answers. New sets it, because a new node has not
 	// reached the store yet.
 	outageSince time.Time
-	// graceUntil is the end of the time after an outage of the store in which entries may
-	// have been deleted because of missed heartbeats.
-	graceUntil time.Time
 	// loadedAt is when the first snapshot was applied.
 	loadedAt time.Time
 	// readFailed is set once a read of the store has failed.
 	readFailed bool
-	// directReadUntil is the time until which this node reads the store although it is not
-	// one of the readers.
-	directReadUntil time.Time
 	// loadNow is closed to end the start delay when a caller waits for the copy.
 	loadNow     chan struct{}
 	loadNowOnce sync.Once
@@ -100,14 +94,16 @@
 // ChangesSince answers a poll of another node. If there is no change, it waits for one.
 func (f *Follower) ChangesSince(ctx context.Context, request anvilpeer.PublishedRequest) anvilpeer.PublishedReply {
 	f.mergeAnnouncements(request.Announcements)
+	f.config.Roles.merge(request.StoreReads, time.Now())
+	rolesChanged := f.config.Roles.current(time.Now()).changed
 	timer := time.NewTimer(min(request.Wait, maxPeerPollWait))
 	defer timer.Stop()
 	for waiting := request.Wait > 0; ; {
-		f.mu.Lock()
 		reply := anvilpeer.PublishedReply{
 			Age:            -1,
-			GraceRemaining: f.remainingGrace(time.Now()),
+			GraceRemaining: f.config.Roles.remainingGrace(time.Now()),
 		}
+		f.mu.Lock()
 		if !f.confirmedAt.IsZero() {
 			reply.Age = time.Since(f.confirmedAt)
 		}
@@ -123,9 +119,13 @@
 		f.mu.Unlock()
 		if ready || ctx.Err() != nil {
 			reply.Announcements = f.announcements()
+			reply.StoreReads = f.config.Roles.readsForReply(time.Now())
 			return reply
 		}
 		select {
+		case <-rolesChanged:
+			// The other node has to replicate from the new readers.
+			waiting = false
 		case <-changed:
 			// Respond even if the change is older than the latest one of the other node,
 			// because that node may lack it.
@@ -171,9 +171,10 @@
 // the store confirmed that the copy lacks no change once they are applied; it is negative
 // if the store has not confirmed that.
 func (f *Follower) applyChanges(c anvilmirror.Changes, age time.Duration) bool {
+	now := time.Now()
+	afterOutage := f.config.Roles.remainingGrace(now) > 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
 	if confirmedAt := now.Add(-age); age >= 0 && confirmedAt.After(f.confirmedAt) {
 		f.confirmedAt = confirmedAt
 	}
@@ -186,48 +187,13 @@
 	}
 	f.config.Apply(Batch{
 		Items:       applied,
-		AfterOutage: !f.outageSince.IsZero() || f.remainingGrace(now) > 0,
+		AfterOutage: afterOutage,
 		Mirror:      f.mirror,
 	})
 	f.wakeWaiters()
 	return true
 }
 
-// remainingGrace returns for how much longer deletions of entries may be due to an outage
-// of the store. An outage counts only after this node has loaded its copy. The caller must
-// hold mu.
-func (f *Follower) remainingGrace(now time.Time) time.Duration {
-	if f.inOutage(now) {
-		return OutageGrace
-	}
-	return max(f.graceUntil.Sub(now), 0)
-}
-
-// inOutage reports whether the store is unreachable. This counts only once the copy has been
-// loaded for startupOutageDelay, because a node that has just started has not reached the
-// store yet. The caller must hold mu.
-func (f *Follower) inOutage(now time.Time) bool {
-	return !f.outageSince.IsZero() && !f.loadedAt.IsZero() && now.Sub(f.loadedAt) > startupOutageDelay
-}
-
-// extendGrace extends the grace period by the remaining one of another node, which may have
-// noticed an outage of the store that this node has not.
-func (f *Follower) extendGrace(remaining time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if until := time.Now().Add(min(remaining, OutageGrace)); remaining > 0 && until.After(f.graceUntil) {
-		f.graceUntil = until
-	}
-}
-
-// readsStore reports whether this node has to read the store.
-func (f *Follower) readsStore(now time.Time) bool {
-	f.mu.Lock()
-	forced := now.Before(f.directReadUntil) || !f.mirror.Loaded()
-	f.mu.Unlock()
-	return forced || anvilmirror.IsReader(f.config.Members(), ReaderCount)
-}
-
 // isSettled reports whether this node has had its copy for long enough to have discovered
 // the other readers.
 func (f *Follower) isSettled(now time.Time) bool {
@@ -252,21 +218,21 @@
 	}
 }
 
-// followStore reads and watches the store while this node has to.
+// followStore loads the first copy and watches the store while this node has to.
 func (f *Follower) followStore(ctx context.Context) {
 	f.awaitStart(ctx)
 	retry := minRetryDelay
 	for ctx.Err() == nil {
 		now := time.Now()
-		if !f.readsStore(now) {
-			// By the time this node reads the store again, a watch from this revision could
+		current := f.config.Roles.current(now)
+		loaded := f.Loaded()
+		if loaded && !current.watches() {
+			// By the time this node watches the store again, a watch from this revision could
 			// miss changes.
 			f.watchRevision = 0
-			sleep(ctx, roleCheckInterval)
-			continue
 		}
-		if f.Loaded() && !f.isSettled(now) {
-			sleep(ctx, roleCheckInterval)
+		if loaded && (!current.watches() || !f.isSettled(now)) {
+			f.awaitRole(ctx, current)
 			continue
 		}
 		err := f.readStore(ctx)
@@ -274,6 +240,9 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
+			if !loaded {
+				f.config.Roles.recordSuccess(time.Now())
+			}
 			f.storeFound()
 			retry = minRetryDelay
 			sleep(ctx, watchPause)
@@ -282,12 +251,24 @@
 			f.watchRevision = 0
 		default:
 			f.storeLost(time.Now(), err)
+			f.config.Roles.requestVerification()
 			sleep(ctx, retry/2+f.randomDuration(retry))
 			retry = min(retry*2, maxRetryDelay)
 		}
 	}
 }
 
+// awaitRole waits until the role of this node may have changed.
+func (f *Follower) awaitRole(ctx context.Context, current role) {
+	timer := time.NewTimer(roleCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-current.changed:
+	case <-timer.C:
+	}
+}
+
 func (f *Follower) randomDuration(limit time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -328,7 +309,7 @@
 	defer cancel()
 	read := f.config.ReadAll
 	if !f.Loaded() {
-		read = f.hedgedReadAll
+		read = f.initialReadAll
 	}
 	c, err := read(readCtx, f.config.Prefix)
 	f.config.CountRead(kind, err == nil)
@@ -339,9 +320,9 @@
 	return c, err
 }
 
-// hedgedReadAll reads all items. While the store does not answer, it starts further reads in
-// addition to those that are open. The first successful one counts.
-func (f *Follower) hedgedReadAll(ctx context.Context, prefix string) (anvilmirror.Changes, error) {
+// initialReadAll reads all items. While the store does not answer, it starts further reads
+// in addition to those that are open. The first successful one counts.
+func (f *Follower) initialReadAll(ctx context.Context, prefix string) (anvilmirror.Changes, error) {
 	type result struct {
 		changes anvilmirror.Changes
 		err     error
@@ -390,7 +371,7 @@
 
 // cancelUnneededWatch cancels the watch if this node no longer has to read the store.
 func (f *Follower) cancelUnneededWatch() {
-	if f.readsStore(time.Now()) {
+	if f.config.Roles.current(time.Now()).watches() {
 		return
 	}
 	f.mu.Lock()
@@ -442,9 +423,6 @@
 	}
 	f.config.Log.Info().Str("event", "store-found").Str("prefix", f.config.Prefix).
 		Uint64("revision", f.mirror.LatestRevision()).Dur("away-ms", time.Since(f.outageSince)).Send()
-	if now := time.Now(); f.inOutage(now) {
-		f.graceUntil = now.Add(OutageGrace)
-	}
 	f.outageSince = time.Time{}
 }
 
--- a/anvilfollower/peers.go
+++ b/anvilfollower/peers.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
-	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
 )
@@ -14,17 +14,18 @@
 func (f *Follower) followPeers(ctx context.Context) {
 	f.awaitFirstCopy(ctx)
 	for ctx.Err() == nil {
+		current := f.config.Roles.current(time.Now())
 		f.cancelUnneededWatch()
-		position := anvilmirror.TreePositionOf(f.config.Members(), ReaderCount, anvilmirror.FanOut)
-		if f.pollSources(ctx, position) {
+		if f.pollSources(ctx, current) {
 			f.storeFound()
 			continue
 		}
-		if ctx.Err() == nil && f.startsDirectRead(len(position.Sources), time.Now()) {
-			f.config.Log.Info().Str("event", "reads-store-itself").Str("prefix", f.config.Prefix).
-				Str("cause", "no other node has a fresh copy").Int("sources", len(position.Sources)).Send()
+		select {
+		case <-current.changed:
+			continue
+		default:
 		}
-		sleep(ctx, roleCheckInterval+f.randomDuration(roleCheckInterval))
+		f.awaitRole(ctx, current)
 	}
 }
 
@@ -44,25 +45,37 @@
 }
 
 // pollSources polls the sources in their order until one has a fresh copy, and reports
-// whether one has. Only the poll of the first source waits for a change.
-func (f *Follower) pollSources(ctx context.Context, position anvilmirror.TreePosition) bool {
-	wait := min(time.Duration(max(position.Depth, 1))*peerPollWait, maxPeerPollWait)
-	maxAge := maxCopyAge + time.Duration(max(position.Level-1, 0))*wait
-	for i, m := range position.Sources {
-		sourceWait := wait
+// whether one has. Only the poll of the first source waits for a change. If none of them has
+// a fresh copy, it polls another node, which may reach other readers. It returns early when
+// the readers change.
+func (f *Follower) pollSources(ctx context.Context, current role) bool {
+	maxAge := maxCopyAge + time.Duration(max(current.Position.Level-1, 0))*current.pollWait
+	sources := f.config.Roles.orderSources(current.Position.Sources, time.Now())
+	if other, ok := f.config.Roles.substitute(sources); ok {
+		sources = append(sources, other)
+	}
+	for i, m := range sources {
+		wait := current.pollWait
 		if i > 0 {
-			sourceWait = 0
+			wait = 0
 		}
-		if age, err := f.pollPeer(ctx, m, sourceWait, maxAge); err == nil && age >= 0 && age < maxAge {
+		age, err := f.pollPeer(ctx, m, current, wait, maxAge)
+		if err == nil && age >= 0 && age < maxAge {
 			return true
 		}
+		select {
+		case <-current.changed:
+			return false
+		default:
+		}
 	}
 	return false
 }
 
 // pollPeer polls another node, applies its changes and returns the age of its copy, which is
-// negative if the store has never confirmed it. A copy is stale from maxAge.
-func (f *Follower) pollPeer(ctx context.Context, m anvilmodel.Member, wait, maxAge time.Duration) (time.Duration, error) {
+// negative if the store has never confirmed it. A copy is stale from maxAge. The poll ends
+// early when the readers change.
+func (f *Follower) pollPeer(ctx context.Context, m anvilmodel.Member, current role, wait, maxAge time.Duration) (time.Duration, error) {
 	f.mu.Lock()
 	cursor := f.mirror.Cursor()
 	request := anvilpeer.PublishedRequest{
@@ -75,43 +88,41 @@
 	awaitingStore := !f.mirror.Loaded() && !f.readFailed
 	f.mu.Unlock()
 	request.Announcements = f.announcements()
+	request.StoreReads = f.config.Roles.readsForPoll(current, time.Now())
 	pollCtx, cancel := context.WithTimeout(ctx, wait+peerPollMargin)
 	defer cancel()
+	if wait > 0 {
+		go cancelOnChange(pollCtx, current.changed, cancel)
+	}
 	reply, err := f.config.FetchChanges(pollCtx, m.PeerAddress, request)
 	f.config.CountRead("peer", err == nil)
 	if err != nil {
+		if !errors.Is(pollCtx.Err(), context.Canceled) {
+			f.config.Roles.recordUnreachable(m.Name, time.Now())
+		}
 		f.config.Log.Debug().Str("event", "peer-read-failed").Str("prefix", f.config.Prefix).
 			Str("member", string(m.Name)).Err(err).Send()
 		return 0, err
 	}
+	if len(request.StoreReads) > 0 {
+		f.config.Roles.markPassedOn(current.changed)
+	}
+	f.config.Roles.merge(reply.StoreReads, time.Now())
 	f.mergeAnnouncements(reply.Announcements)
 	if awaitingStore && (reply.Age < 0 || reply.Age >= maxAge) {
 		// The store is about to answer, and a stale copy may list leaves that have left.
 		return reply.Age, nil
 	}
-	f.extendGrace(reply.GraceRemaining)
+	f.config.Roles.extendGrace(reply.GraceRemaining, time.Now())
 	f.applyChanges(reply.Changes, reply.Age)
 	return reply.Age, nil
 }
 
-// startsDirectRead reports whether this node starts to read the store itself because no
-// source has a fresh copy. In a large fleet only a few nodes do so at a time.
-func (f *Follower) startsDirectRead(sources int, now time.Time) bool {
-	members := f.config.Members()
-	if sources == 0 || anvilmirror.IsReader(members, ReaderCount) {
-		return false
-	}
-	alive := 0
-	for _, m := range members {
-		if m.Status == anvilmodel.MemberAlive {
-			alive++
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if now.Before(f.directReadUntil) || f.random.IntN(max(alive, 1)) >= extraReaders {
-		return false
+// cancelOnChange calls cancel when the readers change before ctx ends.
+func cancelOnChange(ctx context.Context, changed <-chan struct{}, cancel context.CancelFunc) {
+	select {
+	case <-changed:
+		cancel()
+	case <-ctx.Done():
 	}
-	f.directReadUntil = now.Add(directReadTime)
-	return true
 }
--- a/anvilfollower/set.go
+++ b/anvilfollower/set.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 )
 
@@ -19,6 +20,10 @@
 	// leafVerifyInterval is the same as verifyInterval for the entries of leaves while they
 	// change. It is longer because a read of them has several pages.
 	leafVerifyInterval = 2 * time.Second
+	// minOverdueTime and maxOverdueTime bound the time from which a read for verification
+	// counts as unanswered: twice the time of the last one.
+	minOverdueTime = 400 * time.Millisecond
+	maxOverdueTime = 1500 * time.Millisecond
 	// catchUpInterval is how often a node checks whether another one has a later
 	// configuration.
 	catchUpInterval = 250 * time.Millisecond
@@ -29,9 +34,14 @@
 
 // Set holds the followers of a node.
 type Set struct {
-	// Configuration follows the configuration, Leaves the entries of leaves.
+	// Configuration follows the configuration, Leaves the entries of leaves. Both are
+	// configured with Roles.
 	Configuration *Follower
 	Leaves        *Follower
+	Roles         *Roles
+	// lastReadTime is how long the last successful read for verification took. Only the
+	// goroutine that verifies uses it.
+	lastReadTime time.Duration
 }
 
 // Run keeps both copies up to date until ctx ends.
@@ -58,45 +68,116 @@
 // verify reads the items of the configuration at intervals while this node reads the store,
 // and the entries of leaves if the store has changed since their copy was last complete.
 func (s *Set) verify(ctx context.Context) {
+	var nextAt time.Time
 	var leavesReadAt time.Time
-	for ctx.Err() == nil {
-		sleep(ctx, verifyInterval)
-		if now := time.Now(); !s.Configuration.isSettled(now) || !s.Configuration.readsStore(now) {
-			continue
-		}
-		knownRevision := s.latestRevision()
-		c, err := s.Configuration.readAll(ctx, kindVerify)
-		if err != nil {
-			s.Configuration.config.Log.Debug().Str("event", "store-verify-failed").Err(err).Send()
-			// A watch that is waiting may not notice the failure for seconds.
-			s.Configuration.storeLost(time.Now(), err)
-			s.Leaves.storeLost(time.Now(), err)
-			continue
-		}
-		s.Configuration.storeFound()
-		if c.CompleteRevision <= s.Leaves.CompleteRevision() {
-			s.Leaves.markConfirmed(c.CompleteRevision)
-			s.Leaves.storeFound()
+	for requested := false; ctx.Err() == nil; {
+		now := time.Now()
+		current := s.Roles.current(now)
+		if !current.Reads || !s.Configuration.isSettled(now) || current.Active && now.Before(nextAt) && !requested {
+			limit := roleCheckInterval
+			if current.Reads && current.Active && nextAt.After(now) {
+				limit = min(limit, nextAt.Sub(now))
+			}
+			requested = s.Roles.await(ctx, current, now, limit)
 			continue
 		}
-		watchBehind := c.CompleteRevision > knownRevision
-		if watchBehind {
-			sleep(ctx, maxWatchDelay)
-			watchBehind = c.CompleteRevision > s.latestRevision()
+		requested = false
+		nextAt = now.Add(verifyInterval)
+		if !current.Active {
+			// The node has no watches yet.
+			leavesReadAt = time.Time{}
 		}
-		if !watchBehind && time.Since(leavesReadAt) < leafVerifyInterval {
-			s.Leaves.markConfirmed(0)
-			continue
+		leavesReadAt = s.verifyOnce(ctx, current.Active, leavesReadAt)
+	}
+}
+
+// verifyOnce reads the configuration, and the entries of leaves if needed. It returns when
+// the entries were last read.
+func (s *Set) verifyOnce(ctx context.Context, watching bool, leavesReadAt time.Time) time.Time {
+	knownRevision := s.latestRevision()
+	c, err := s.readVerified(ctx, s.Configuration)
+	if err != nil {
+		return leavesReadAt
+	}
+	s.Roles.recordSuccess(time.Now())
+	s.Configuration.storeFound()
+	if c.CompleteRevision <= s.Leaves.CompleteRevision() {
+		s.Leaves.markConfirmed(c.CompleteRevision)
+		s.Leaves.storeFound()
+		return leavesReadAt
+	}
+	watchBehind := c.CompleteRevision > knownRevision
+	if watchBehind && watching {
+		sleep(ctx, maxWatchDelay)
+		watchBehind = c.CompleteRevision > s.latestRevision()
+	}
+	if !watchBehind && time.Since(leavesReadAt) < leafVerifyInterval {
+		s.Leaves.markConfirmed(0)
+		return leavesReadAt
+	}
+	if _, err := s.readVerified(ctx, s.Leaves); err != nil {
+		return leavesReadAt
+	}
+	s.Leaves.storeFound()
+	return time.Now()
+}
+
+// readVerified reads all items of a follower. If the store does not answer in time, it
+// records the loss of the store, so that other nodes read it, and starts a second read,
+// because the store may answer a new request and not the one that is open.
+func (s *Set) readVerified(ctx context.Context, f *Follower) (anvilmirror.Changes, error) {
+	type result struct {
+		changes anvilmirror.Changes
+		err     error
+	}
+	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, 2)
+	read := func() {
+		c, err := f.readAll(readCtx, kindVerify)
+		results <- result{
+			changes: c,
+			err:     err,
 		}
-		if _, err := s.Leaves.readAll(ctx, kindVerify); err != nil {
-			s.Leaves.config.Log.Debug().Str("event", "store-verify-failed").Err(err).Send()
-			continue
+	}
+	startedAt := time.Now()
+	go read()
+	open := 1
+	overdue := time.NewTimer(max(minOverdueTime, min(2*s.lastReadTime, maxOverdueTime)))
+	defer overdue.Stop()
+	for {
+		select {
+		case r := <-results:
+			open--
+			if r.err == nil {
+				s.lastReadTime = time.Since(startedAt)
+				return r.changes, nil
+			}
+			if ctx.Err() == nil && open == 0 {
+				s.storeLost(r.err)
+			}
+			if open == 0 {
+				return r.changes, r.err
+			}
+		case <-overdue.C:
+			s.storeLost(StoreOverdue.New("the store has not answered a read within %s", time.Since(startedAt)))
+			open++
+			go read()
 		}
-		s.Leaves.storeFound()
-		leavesReadAt = time.Now()
 	}
 }
 
+// storeLost records that the store does not answer this node. A watch that is waiting may
+// not notice this for seconds.
+func (s *Set) storeLost(err error) {
+	now := time.Now()
+	s.Configuration.storeLost(now, err)
+	s.Leaves.storeLost(now, err)
+	s.Roles.recordLoss(now, err)
+	s.Configuration.cancelUnneededWatch()
+	s.Leaves.cancelUnneededWatch()
+}
+
 // latestRevision returns the highest revision of the changes received for either prefix.
 func (s *Set) latestRevision() uint64 {
 	return max(s.Configuration.LatestRevision(), s.Leaves.LatestRevision())
@@ -124,12 +205,13 @@
 			Uint64("revision", ahead.ConfigRevision).Uint64("held", s.Configuration.LatestRevision()).
 			Dur("for-ms", now.Sub(behindSince)).Send()
 		// The age of its copy does not matter, since its configuration is later.
-		if _, err := s.Configuration.pollPeer(ctx, ahead, 0, maxCopyAge); err != nil {
+		current := s.Roles.current(now)
+		if _, err := s.Configuration.pollPeer(ctx, ahead, current, 0, maxCopyAge); err != nil {
 			continue
 		}
 		requestedRevision = ahead.ConfigRevision
 		// pollPeer logs a failure. The entries of leaves also arrive over the tree.
-		_, _ = s.Leaves.pollPeer(ctx, ahead, 0, maxCopyAge)
+		_, _ = s.Leaves.pollPeer(ctx, ahead, current, 0, maxCopyAge)
 	}
 }
 
--- a/anvilfollower/simulation_test.go
+++ b/anvilfollower/simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -80,6 +81,7 @@
 	faults          map[string]fault
 	random          *rand.Rand
 	callCount       int
+	nodeCalls       map[string]int
 	// transferTime is how long the store's link takes to transfer a copy, linkFreeAt when
 	// the link is idle again.
 	transferTime time.Duration
@@ -88,11 +90,12 @@
 
 func newStore(seed uint64) *store {
 	return &store{
-		revision: 1,
-		items:    make(map[string]anvilmirror.Item),
-		changed:  make(chan struct{}),
-		faults:   make(map[string]fault),
-		random:   rand.New(rand.NewPCG(seed, 0)),
+		revision:  1,
+		items:     make(map[string]anvilmirror.Item),
+		changed:   make(chan struct{}),
+		faults:    make(map[string]fault),
+		nodeCalls: make(map[string]int),
+		random:    rand.New(rand.NewPCG(seed, 0)),
 	}
 }
 
@@ -142,11 +145,19 @@
 	return s.callCount
 }
 
+// callsByNode returns the number of calls of each node so far.
+func (s *store) callsByNode() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.nodeCalls)
+}
+
 // beginCall counts a call and returns its fault and its delay.
 func (s *store) beginCall(node string) (fault, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.callCount++
+	s.nodeCalls[node]++
 	kind := s.faults[node]
 	if kind == faultDelayed {
 		return kind, time.Duration(s.random.Int64N(int64(1400 * time.Millisecond)))
@@ -312,6 +323,11 @@
 		contents:  make(map[string]string),
 		departing: make(map[anvilmodel.LeafName]bool),
 	}
+	roles := anvilfollower.NewRoles(anvilfollower.RolesConfig{
+		Members: func() []anvilmodel.Member { return f.membersSeenBy(index) },
+		Random:  rand.New(rand.NewPCG(f.random.Uint64(), 0)),
+		Log:     zerolog.Nop(),
+	})
 	follower := func(prefix string) *anvilfollower.Follower {
 		config := anvilfollower.Config{
 			Prefix: prefix,
@@ -327,6 +343,7 @@
 			},
 			FetchChanges: f.fetchChanges,
 			Members:      func() []anvilmodel.Member { return f.membersSeenBy(index) },
+			Roles:        roles,
 			Apply:        n.apply,
 			CountRead:    func(string, bool) {},
 			Random:       rand.New(rand.NewPCG(f.random.Uint64(), 0)),
@@ -341,6 +358,7 @@
 	n.set = &anvilfollower.Set{
 		Configuration: follower(configurationPrefix),
 		Leaves:        follower(leafPrefix),
+		Roles:         roles,
 	}
 	f.mu.Lock()
 	f.nodes[index] = n
--- a/anvilgateway/follow.go
+++ b/anvilgateway/follow.go
@@ -16,10 +16,11 @@
 const (
 	randomStreamConfiguration = 4
 	randomStreamLeaves        = 5
+	randomStreamRoles         = 6
 )
 
 // followerConfig returns the configuration of a follower of a prefix of the store.
-func (g *Gateway) followerConfig(prefix string, stream uint64, apply func(anvilfollower.Batch)) anvilfollower.Config {
+func (g *Gateway) followerConfig(prefix string, roles *anvilfollower.Roles, stream uint64, apply func(anvilfollower.Batch)) anvilfollower.Config {
 	return anvilfollower.Config{
 		Prefix:  prefix,
 		ReadAll: g.config.Store.ReadAll,
@@ -30,6 +31,7 @@
 			return g.peers.Published(ctx, address, q)
 		},
 		Members: g.memberList,
+		Roles:   roles,
 		Apply:   apply,
 		CountRead: func(kind string, ok bool) {
 			g.config.Metrics.Add(anvilmetric.StoreReads, 1, kind, outcomeLabel(ok))
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -138,12 +138,18 @@
 	c.Balance.Random = rand.New(rand.NewPCG(c.Seed, 2))
 	g.balancer = anvilbalance.New(c.Balance)
 	g.enoughShards.Store(true)
-	leafFollower := g.followerConfig(c.Store.LeafPrefix, randomStreamLeaves, g.applyLeaves)
+	roles := anvilfollower.NewRoles(anvilfollower.RolesConfig{
+		Members: g.memberList,
+		Random:  rand.New(rand.NewPCG(c.Seed, randomStreamRoles)),
+		Log:     c.Log,
+	})
+	leafFollower := g.followerConfig(c.Store.LeafPrefix, roles, randomStreamLeaves, g.applyLeaves)
 	leafFollower.Announcements = g.announcements
 	leafFollower.MergeAnnouncements = g.mergeAnnouncements
 	g.followers = &anvilfollower.Set{
-		Configuration: anvilfollower.New(g.followerConfig(c.Store.ConfigurationPrefix, randomStreamConfiguration, g.applyConfiguration)),
+		Configuration: anvilfollower.New(g.followerConfig(c.Store.ConfigurationPrefix, roles, randomStreamConfiguration, g.applyConfiguration)),
 		Leaves:        anvilfollower.New(leafFollower),
+		Roles:         roles,
 	}
 	g.startMembership()
 	return g
--- a/anvilmirror/tree.go
+++ b/anvilmirror/tree.go
@@ -11,17 +11,6 @@
 // spend on control traffic (docs/CAPACITY.md).
 const FanOut = 16
 
-// Readers returns the members, at most count, that read the platform's store on behalf
-// of the fleet: the first by the hash of their names of those that are alive and have a
-// copy. A member that reports no revision has not read anything. Whether a member serves
-// callers does not matter, because all members may be out of service at once while
-// leaves are lost. Nodes with the same view of the fleet choose the same readers without
-// coordination; nodes with different views choose mostly the same ones.
-func Readers(members []anvilmodel.Member, count int) []anvilmodel.Member {
-	candidates := withCopyByHash(members)
-	return candidates[:min(count, len(candidates))]
-}
-
 // withCopyByHash returns the members that have a copy, ordered by the hash of their
 // names.
 func withCopyByHash(members []anvilmodel.Member) []anvilmodel.Member {
@@ -31,12 +20,19 @@
 			candidates = append(candidates, m)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b anvilmodel.Member) int {
-		return anvilmodel.CompareByHash(a.Name, b.Name)
-	})
+	anvilmodel.SortByHash(candidates)
 	return candidates
 }
 
+// rankByHash returns the number of members that come before a name in the order of the
+// hashes.
+func rankByHash(byHash []anvilmodel.Member, name anvilmodel.VMName) int {
+	rank, _ := slices.BinarySearchFunc(byHash, name, func(m anvilmodel.Member, name anvilmodel.VMName) int {
+		return anvilmodel.CompareByHash(m.Name, name)
+	})
+	return rank
+}
+
 // hasCopy reports whether a member is alive, reachable and has a copy.
 func hasCopy(m anvilmodel.Member) bool {
 	return m.Status == anvilmodel.MemberAlive && m.ConfigRevision > 0 && m.PeerAddress.IsValid()
@@ -52,20 +48,41 @@
 	Depth int
 }
 
-// TreePositionOf returns the tree position of the first member. The readers are the
-// roots. Each level below has fanOut nodes for each node of the level above and is
+// TreePositionOf returns the tree position of the first member. The roots are those given;
+// if they are fewer than the number of readers, the members that follow by the hash of
+// their names. Each level below has fanOut nodes for each node of the level above and is
 // filled in the order of the name hashes. A node replicates from a node of the level
-// above, or else from the next one of that level, or else from the readers. Nodes with
+// above, or else from the next one of that level, or else from the roots. Nodes with
 // different views of the fleet may replicate from each other for a short time; the age
 // of their copies shows this.
-func TreePositionOf(members []anvilmodel.Member, readers, fanOut int) TreePosition {
+func TreePositionOf(members []anvilmodel.Member, rootNames []anvilmodel.VMName, readers, fanOut int) TreePosition {
 	if len(members) == 0 {
 		return TreePosition{}
 	}
-	others := withCopyByHash(members[1:])
-	rank, _ := slices.BinarySearchFunc(others, members[0], func(a, b anvilmodel.Member) int {
-		return anvilmodel.CompareByHash(a.Name, b.Name)
-	})
+	return treePosition(members[0].Name, withCopyByHash(members[1:]), rootNames, readers, fanOut)
+}
+
+// treePosition returns the position of a node among others that are ordered by hash.
+func treePosition(self anvilmodel.VMName, byHash []anvilmodel.Member, rootNames []anvilmodel.VMName, readers, fanOut int) TreePosition {
+	isRoot := func(m anvilmodel.Member) bool { return slices.Contains(rootNames, m.Name) }
+	others := make([]anvilmodel.Member, 0, len(byHash))
+	rank := 0
+	selfIndex := rankByHash(byHash, self)
+	for _, roots := range []bool{true, false} {
+		if roots == slices.Contains(rootNames, self) {
+			rank = len(others)
+			for _, m := range byHash[:selfIndex] {
+				if isRoot(m) == roots {
+					rank++
+				}
+			}
+		}
+		for _, m := range byHash {
+			if isRoot(m) == roots {
+				others = append(others, m)
+			}
+		}
+	}
 	p := TreePosition{
 		Depth: levelOfRank(len(others), readers, fanOut).number,
 	}
@@ -117,24 +134,3 @@
 	}
 	return l
 }
-
-// IsReader reports whether the first member reads the store: if fewer than count other
-// members have a copy, or if it is alive and one of the first count by the hash of the
-// names. It needs no copy of its own and need not serve callers.
-func IsReader(members []anvilmodel.Member, count int) bool {
-	if len(members) == 0 {
-		return true
-	}
-	self := members[0]
-	others, before := 0, 0
-	for _, m := range members[1:] {
-		if !hasCopy(m) {
-			continue
-		}
-		others++
-		if anvilmodel.CompareByHash(m.Name, self.Name) < 0 {
-			before++
-		}
-	}
-	return others < count || self.Status == anvilmodel.MemberAlive && before < count
-}
--- a/anvilmirror/tree_test.go
+++ b/anvilmirror/tree_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -24,10 +25,19 @@
 			ConfigRevision: 5,
 		})
 	}
+	// All nodes have read the store at their start.
+	now := time.Unix(1_000_000, 0)
+	table := anvilmirror.NewReaderTable(anvilmirror.ReaderConfig{
+		Count:    2,
+		FanOut:   anvilmirror.FanOut,
+		Lifetime: func(int) time.Duration { return time.Second },
+	})
+	for _, m := range members {
+		table.RecordSuccess(m.Name, now)
+	}
 	readers := 0
 	for i := range members {
-		view := append([]anvilmodel.Member{members[i]}, members[:i]...)
-		if anvilmirror.IsReader(append(view, members[i+1:]...), 2) {
+		if table.Role(viewOf(members, i), now).Reads {
 			readers++
 		}
 	}
@@ -64,7 +74,7 @@
 		followers := make(map[anvilmodel.VMName]int)
 		readers, highestLevel := 0, 0
 		for i := range members {
-			p := anvilmirror.TreePositionOf(viewOf(members, i), 2, anvilmirror.FanOut)
+			p := anvilmirror.TreePositionOf(viewOf(members, i), nil, 2, anvilmirror.FanOut)
 			highestLevel = max(highestLevel, p.Level)
 			if p.Depth != c.depth {
 				t.Errorf("%d nodes: %s computes a tree depth of %d, want %d", c.nodes, members[i].Name, p.Depth, c.depth)
@@ -91,7 +101,7 @@
 func TestFollowersHaveAlternativeSources(t *testing.T) {
 	members := membersWithCopy(100)
 	for i := range members {
-		p := anvilmirror.TreePositionOf(viewOf(members, i), 2, anvilmirror.FanOut)
+		p := anvilmirror.TreePositionOf(viewOf(members, i), nil, 2, anvilmirror.FanOut)
 		if len(p.Sources) < 2 {
 			t.Errorf("%s has %d sources, want at least 2", members[i].Name, len(p.Sources))
 		}
@@ -102,7 +112,7 @@
 		for members[source].Name != p.Sources[0].Name {
 			source++
 		}
-		if parent := anvilmirror.TreePositionOf(viewOf(members, source), 2, anvilmirror.FanOut); parent.Level != p.Level-1 {
+		if parent := anvilmirror.TreePositionOf(viewOf(members, source), nil, 2, anvilmirror.FanOut); parent.Level != p.Level-1 {
 			t.Errorf("%s on level %d replicates from a node on level %d, want the level above", members[i].Name, p.Level, parent.Level)
 		}
 	}
--- a/anvilmodel/node.go
+++ b/anvilmodel/node.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -89,6 +90,27 @@
 	return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b))), cmp.Compare(a, b))
 }
 
+// SortByHash sorts members in the order of CompareByHash.
+func SortByHash(members []Member) {
+	type hashed struct {
+		hash   uint64
+		member Member
+	}
+	sorted := make([]hashed, 0, len(members))
+	for _, m := range members {
+		sorted = append(sorted, hashed{
+			hash:   xxhash.Sum64String(string(m.Name)),
+			member: m,
+		})
+	}
+	slices.SortFunc(sorted, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.member.Name, b.member.Name))
+	})
+	for i, s := range sorted {
+		members[i] = s.member
+	}
+}
+
 // ListedVM is an entry of the published VM list.
 type ListedVM struct {
 	Name          VMName
--- a/anvilpeer/published_test.go
+++ b/anvilpeer/published_test.go
@@ -66,6 +66,18 @@
 				Age: 1500 * time.Millisecond,
 			}},
 		},
+		StoreReads: []anvilmirror.StoreRead{
+			{
+				Node:       "vm-1",
+				SuccessAge: 300 * time.Millisecond,
+			},
+			{
+				Node:       "vm-2",
+				SuccessAge: -time.Microsecond,
+				Lost:       true,
+				LossAge:    40 * time.Millisecond,
+			},
+		},
 	}
 	requested := anvilmodel.LeafAnnouncements{
 		Departures: []anvilmodel.Departure{{
@@ -77,8 +89,15 @@
 			Age:  time.Millisecond,
 		}},
 	}
+	reads := []anvilmirror.StoreRead{{
+		Node:       "vm-3",
+		SuccessAge: time.Second,
+	}}
 	p := (&testPeer{}).start(t, anvilpeer.Handlers{
 		Published: func(_ context.Context, request anvilpeer.PublishedRequest) anvilpeer.PublishedReply {
+			if diff := cmp.Diff(reads, request.StoreReads); diff != "" {
+				t.Errorf("reads of the request (-want +got):\n%s", diff)
+			}
 			if diff := cmp.Diff(requested, request.Announcements); diff != "" {
 				t.Errorf("announcements of the request (-want +got):\n%s", diff)
 			}
@@ -101,6 +120,7 @@
 		got, err := client.Published(t.Context(), p.address, anvilpeer.PublishedRequest{
 			CompleteRevision: 3,
 			Announcements:    requested,
+			StoreReads:       reads,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -113,3 +133,35 @@
 		t.Errorf("request and reply took %d bytes, want at most %d", size, maxBytes)
 	}
 }
+
+// Guards against a copy that the store has never confirmed and that counts as fresh at
+// another node, and against a node that counts as a reader although it never reached the
+// store: an age of -1 ns is not negative in microseconds.
+func TestNegativeAgesStayNegative(t *testing.T) {
+	p := (&testPeer{}).start(t, anvilpeer.Handlers{
+		Published: func(context.Context, anvilpeer.PublishedRequest) anvilpeer.PublishedReply {
+			return anvilpeer.PublishedReply{
+				Age: -1,
+				StoreReads: []anvilmirror.StoreRead{{
+					Node:       "vm-1",
+					SuccessAge: -1,
+					Lost:       true,
+				}},
+			}
+		},
+	})
+	client := anvilpeer.NewClient(anvilpeer.ClientConfig{
+		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address.String())
+		},
+	})
+	defer func() { _ = client.Close() }()
+	got, err := client.Published(t.Context(), p.address, anvilpeer.PublishedRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Age >= 0 || len(got.StoreReads) != 1 || got.StoreReads[0].SuccessAge >= 0 {
+		t.Errorf("age %s, reads %v, want negative ages", got.Age, got.StoreReads)
+	}
+}
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -21,6 +21,8 @@
 	// Announcements are those of leaves that the replying node passes on. The store may
 	// still list the leaves that depart.
 	Announcements anvilmodel.LeafAnnouncements
+	// StoreReads are the reads of the store that the replying node passes on.
+	StoreReads []anvilmirror.StoreRead
 }
 
 // PublishedRequest requests the changes to a prefix of the platform's store that the
@@ -37,6 +39,8 @@
 	Wait time.Duration
 	// Announcements are those of leaves that the requesting node passes on.
 	Announcements anvilmodel.LeafAnnouncements
+	// StoreReads are the reads of the store that the requesting node passes on.
+	StoreReads []anvilmirror.StoreRead
 }
 
 func encodePublishedRequest(request PublishedRequest) *anvilproto.PublishedRequest {
@@ -48,6 +52,7 @@
 		WaitMicros: request.Wait.Microseconds(),
 		Departures: encodeDepartures(request.Announcements.Departures),
 		RateLimits: encodeRateLimits(request.Announcements.RateLimits),
+		StoreReads: encodeStoreReads(request.StoreReads),
 	}
 }
 
@@ -62,6 +67,7 @@
 			Departures: decodeDepartures(request.GetDepartures()),
 			RateLimits: decodeRateLimits(request.GetRateLimits()),
 		},
+		StoreReads: decodeStoreReads(request.GetStoreReads()),
 	}
 }
 
@@ -70,12 +76,13 @@
 		Revision:  reply.CompleteRevision,
 		Complete:  reply.Snapshot,
 		Items:     make([]*anvilproto.PublishedItem, 0, len(reply.Items)),
-		AgeMicros: reply.Age.Microseconds(),
+		AgeMicros: encodeAge(reply.Age),
 		Digest:    reply.Digest,
 
 		LapseMicros: reply.GraceRemaining.Microseconds(),
 		Departures:  encodeDepartures(reply.Announcements.Departures),
 		RateLimits:  encodeRateLimits(reply.Announcements.RateLimits),
+		StoreReads:  encodeStoreReads(reply.StoreReads),
 	}
 	for _, item := range reply.Items {
 		value, compressed := c.compress(item)
@@ -105,6 +112,7 @@
 			Departures: decodeDepartures(encoded.GetDepartures()),
 			RateLimits: decodeRateLimits(encoded.GetRateLimits()),
 		},
+		StoreReads: decodeStoreReads(encoded.GetStoreReads()),
 	}
 	for _, item := range encoded.GetItems() {
 		value := item.GetValue()
@@ -176,6 +184,40 @@
 	return notices
 }
 
+// encodeAge encodes a negative age as one that is still negative in microseconds.
+func encodeAge(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Microseconds()
+}
+
+func encodeStoreReads(reads []anvilmirror.StoreRead) []*anvilproto.StoreRead {
+	encoded := make([]*anvilproto.StoreRead, 0, len(reads))
+	for _, r := range reads {
+		encoded = append(encoded, &anvilproto.StoreRead{
+			Node:             string(r.Node),
+			SuccessAgeMicros: encodeAge(r.SuccessAge),
+			Lost:             r.Lost,
+			LossAgeMicros:    r.LossAge.Microseconds(),
+		})
+	}
+	return encoded
+}
+
+func decodeStoreReads(encoded []*anvilproto.StoreRead) []anvilmirror.StoreRead {
+	var reads []anvilmirror.StoreRead
+	for _, e := range encoded {
+		reads = append(reads, anvilmirror.StoreRead{
+			Node:       anvilmodel.VMName(e.GetNode()),
+			SuccessAge: time.Duration(e.GetSuccessAgeMicros()) * time.Microsecond,
+			Lost:       e.GetLost(),
+			LossAge:    time.Duration(e.GetLossAgeMicros()) * time.Microsecond,
+		})
+	}
+	return reads
+}
+
 // encodeStart encodes a zero time, which stands for one that is not stated, as 0.
 func encodeStart(at time.Time) int64 {
 	if at.IsZero() {
