Treat a leaf whose connections end as cold until it answers

Cause: the entry of the new process arrives with its first report. The health response states how long the leaf stays cold, but the balancer returned an ejected leaf to use without looking at it. A leaf that was away for a short time was not ejected, so its health was not checked.

Change: the warm-up of a health response is applied, and an older entry does not end it. A refused connection, one that ends during a call, and idle ones that the leaf has closed mark the leaf as possibly restarted unless an older connection is still open. It counts as cold until it has answered a health check, which is sent at once. A call that was picked before is withdrawn, unsent, if the limit does not allow it. The state of a leaf's process outlives a missing entry.

--- a/anvilbalance/announcement.go
+++ b/anvilbalance/announcement.go
@@ -99,8 +99,8 @@
 // DeferCalls records that a leaf accepts no calls from this node for the requested time,
 // and returns for how long it gets none.
 func (b *Balancer) DeferCalls(l Leaf, requested time.Duration, now time.Time) time.Duration {
-	state := b.leaves[l.Name]
-	if state == nil || !state.leaf.StartedAt.Equal(l.StartedAt) || requested <= 0 {
+	state := b.process(l)
+	if state == nil || requested <= 0 {
 		return 0
 	}
 	until := now.Add(min(requested, maxDeferral))
--- a/anvilbalance/announcement_test.go
+++ b/anvilbalance/announcement_test.go
@@ -133,7 +133,12 @@
 	}
 	end := start.Add(requested)
 	b.DueHealthChecks(end)
-	b.FinishHealthCheck(testLeaf(0), true, end)
+	b.FinishHealthCheck(anvilbalance.HealthResult{
+		Leaf:     testLeaf(0),
+		Answered: true,
+		Healthy:  true,
+		SentAt:   end,
+	}, end)
 	if l, status := pick(b, anvilbalance.CallFirst, end, "b"); status != anvilbalance.PickOK {
 		t.Errorf("call after the deferral: leaf %q, status %s, want picked", l.Name, status)
 	}
--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -92,9 +92,9 @@
 	excludedDomains map[anvilmodel.FailureDomain]bool
 	// departures are the announced shutdowns of leaves.
 	departures map[anvilmodel.LeafName]departure
-	// removedLimits are the rate limits of leaves without an entry.
-	removedLimits map[anvilmodel.LeafName]removedLimit
-	pauses        pauseModel
+	// removed holds the states of leaves without an entry.
+	removed map[anvilmodel.LeafName]removedLeaf
+	pauses  pauseModel
 }
 
 type serviceState struct {
@@ -129,7 +129,7 @@
 		routeLatencies:  make(map[anvilroute.Name]*latencyHistogram),
 		excludedDomains: make(map[anvilmodel.FailureDomain]bool),
 		departures:      make(map[anvilmodel.LeafName]departure),
-		removedLimits:   make(map[anvilmodel.LeafName]removedLimit),
+		removed:         make(map[anvilmodel.LeafName]removedLeaf),
 	}
 }
 
--- a/anvilbalance/balance_test.go
+++ b/anvilbalance/balance_test.go
@@ -217,7 +217,12 @@
 	if diff := cmp.Diff(1, len(due)); diff != "" {
 		t.Fatalf("health checks due (-want +got):\n%s", diff)
 	}
-	b.FinishHealthCheck(due[0], true, now)
+	b.FinishHealthCheck(anvilbalance.HealthResult{
+		Leaf:     due[0],
+		Answered: true,
+		Healthy:  true,
+		SentAt:   now,
+	}, now)
 	if _, status := pick(b, anvilbalance.CallFirst, now); status != anvilbalance.PickOK {
 		t.Errorf("status %s after a successful health check", status)
 	}
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -61,13 +61,20 @@
 	inFlight     int
 	overdueCalls int
 	// unanswered is the number of consecutive calls that got no answer.
-	unanswered  int
-	avoidUntil  time.Time
-	coldUntil   time.Time
-	ejected     bool
-	nextCheckAt time.Time
-	backoff     time.Duration
-	stalls      stallHistory
+	unanswered int
+	avoidUntil time.Time
+	// coldSince is when the leaf turned cold, as far as is known, and coldUntil the end of
+	// its warm-up.
+	coldSince time.Time
+	coldUntil time.Time
+	// unverifiedUntil is the time until which the leaf may have restarted since it last
+	// answered, and suspectedAt the time of the latest evidence.
+	unverifiedUntil time.Time
+	suspectedAt     time.Time
+	ejected         bool
+	nextCheckAt     time.Time
+	backoff         time.Duration
+	stalls          stallHistory
 	// leaving is set if the leaf announced its shutdown.
 	leaving bool
 	// deferredUntil is when the leaf accepts calls again.
@@ -84,24 +91,26 @@
 // SetLeaf adds a leaf or updates its entry.
 func (b *Balancer) SetLeaf(l Leaf, now time.Time) {
 	state := b.leaves[l.Name]
-	if state != nil && (state.leaf.Service != l.Service || state.leaf.Address != l.Address || !state.leaf.StartedAt.Equal(l.StartedAt)) {
+	if state != nil && !state.leaf.sameProcess(l) {
 		b.deleteLeaf(state, now)
 		state = nil
 	}
 	if state == nil {
-		state = &leafState{
-			latencyRatio: 1,
-			decayedAt:    now,
+		if state = b.takeRemoved(l, now); state == nil {
+			state = &leafState{
+				leaf:         l,
+				latencyRatio: 1,
+				decayedAt:    now,
+			}
 		}
 		b.leaves[l.Name] = state
-		b.restoreLimit(state, l, now)
 		s := b.service(l.Service)
 		s.leaves = append(s.leaves, state)
 	}
 	state.leaf = l
 	state.leaving = b.hasDeparted(l)
 	state.graceEnd = time.Time{}
-	state.coldUntil = now.Add(l.ColdFor)
+	b.extendCold(state, l.ColdFor, now)
 }
 
 // RemoveLeaf removes a leaf whose entry was deleted, after the grace period.
@@ -118,7 +127,7 @@
 
 func (b *Balancer) deleteLeaf(l *leafState, now time.Time) {
 	delete(b.leaves, l.leaf.Name)
-	b.keepLimit(l, now)
+	b.keepRemoved(l, now)
 	s := b.service(l.leaf.Service)
 	s.leaves = slices.DeleteFunc(s.leaves, func(other *leafState) bool { return other == l })
 }
@@ -276,7 +285,7 @@
 	if l.overdueCalls > 0 || now.Before(l.avoidUntil) || b.pauses.pauseExpected(&l.stalls, callTime, now) {
 		cost *= overduePenalty
 	}
-	if now.Before(l.coldUntil) {
+	if l.cold(now) {
 		cost *= coldPenalty
 	}
 	if l.leaf.FailureDomain != b.config.FailureDomain {
@@ -307,7 +316,7 @@
 // MarkOverdue records that a call has taken longer than the hedge delay. The leaf is
 // avoided until the call has ended.
 func (b *Balancer) MarkOverdue(l Leaf) {
-	if state := b.leaves[l.Name]; state != nil && state.leaf.StartedAt.Equal(l.StartedAt) {
+	if state := b.process(l); state != nil {
 		state.overdueCalls++
 	}
 }
@@ -315,8 +324,8 @@
 // Finish records the result of a call that was picked, and returns the changes to the
 // state of its leaf.
 func (b *Balancer) Finish(r CallResult, now time.Time) LeafChanges {
-	state := b.leaves[r.Leaf.Name]
-	if state == nil || !state.leaf.StartedAt.Equal(r.Leaf.StartedAt) || state.leaf.Address != r.Leaf.Address {
+	state := b.process(r.Leaf)
+	if state == nil {
 		return LeafChanges{}
 	}
 	wasEjected := state.ejected
@@ -328,9 +337,7 @@
 		otherLoad := max(0, float64(r.Load-state.inFlight-1))
 		state.otherLoad += smoothingFactor * (otherLoad - state.otherLoad)
 	}
-	if r.ColdFor > 0 {
-		state.coldUntil = now.Add(r.ColdFor)
-	}
+	b.extendCold(state, r.ColdFor, now)
 	changes := LeafChanges{
 		Deferral: b.DeferCalls(r.Leaf, r.Deferral, now),
 	}
@@ -419,9 +426,9 @@
 	l.nextCheckAt = now.Add(l.backoff)
 }
 
-// DueHealthChecks returns the ejected leaves whose health has to be checked now, and
-// removes leaves whose grace period is over. FinishHealthCheck must be called for every
-// leaf that is returned.
+// DueHealthChecks returns the ejected leaves, and those that may have restarted, whose health
+// has to be checked now, and removes leaves whose grace period is over. FinishHealthCheck
+// must be called for every leaf that is returned.
 func (b *Balancer) DueHealthChecks(now time.Time) []Leaf {
 	var due []Leaf
 	for _, l := range b.leaves {
@@ -429,30 +436,58 @@
 			b.deleteLeaf(l, now)
 			continue
 		}
-		if l.ejected && l.usable(b, now) && !l.deferred(now) && !now.Before(l.nextCheckAt) && b.attemptCall(l, now) {
+		unverified := l.unverified(now)
+		if !l.ejected && !unverified || !l.usable(b, now) || l.deferred(now) || now.Before(l.nextCheckAt) {
+			continue
+		}
+		// Until its check, a leaf that may have restarted gets calls as if it were cold, so
+		// its check must not wait for the same limit.
+		if l.ejected && !b.attemptCall(l, now) {
+			continue
+		}
+		if l.ejected {
 			b.takeTokens(l, now)
-			l.nextCheckAt = now.Add(maxBackoff)
-			l.calls.HealthChecks++
-			due = append(due, l.leaf)
 		}
+		l.nextCheckAt = now.Add(maxBackoff)
+		l.calls.HealthChecks++
+		due = append(due, l.leaf)
 	}
 	return due
 }
 
-// FinishHealthCheck records the outcome of a health check. A healthy leaf is used
-// again; it is ejected at once if its next call is not answered either.
-func (b *Balancer) FinishHealthCheck(l Leaf, healthy bool, now time.Time) {
-	state := b.leaves[l.Name]
-	if state == nil || !state.ejected || !state.leaf.StartedAt.Equal(l.StartedAt) {
-		return
+// HealthResult is the result of a health check.
+type HealthResult struct {
+	Leaf Leaf
+	// Answered is set if the leaf answered, and Healthy if it did and is healthy.
+	Answered bool
+	Healthy  bool
+	// SentAt is when the check was sent.
+	SentAt time.Time
+	// ColdFor is how long the leaf stated that it stays cold; 0 if it did not.
+	ColdFor time.Duration
+}
+
+// FinishHealthCheck records the outcome of a health check, and reports whether an ejected
+// leaf is used again. It is ejected at once if its next call is not answered either.
+func (b *Balancer) FinishHealthCheck(r HealthResult, now time.Time) bool {
+	state := b.process(r.Leaf)
+	if state == nil {
+		return false
+	}
+	b.extendCold(state, r.ColdFor, now)
+	if r.Answered && !state.suspectedAt.After(r.SentAt) {
+		state.unverifiedUntil = time.Time{}
 	}
-	if healthy {
+	switch {
+	case r.Healthy && state.ejected:
 		state.ejected = false
 		state.unanswered = ejectThreshold - 1
-		return
+		return true
+	case state.ejected || state.unverified(now):
+		state.backoff = min(max(state.backoff*2, minBackoff), maxBackoff)
+		state.nextCheckAt = now.Add(state.backoff)
 	}
-	state.backoff = min(max(state.backoff*2, minBackoff), maxBackoff)
-	state.nextCheckAt = now.Add(state.backoff)
+	return false
 }
 
 // ServiceSettings returns the settings of a service.
--- a/anvilbalance/ratelimit.go
+++ b/anvilbalance/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -41,57 +40,13 @@
 	maxNewLimits = 32
 	maxOldLimits = 4
 	newLimitTime = 5 * time.Second
-	// removedLimitRetention is how long the rate limit of a leaf without an entry is kept, in
-	// case the entry reappears, and maxRemovedLimits the number of those that are kept.
-	removedLimitRetention = 2 * time.Minute
-	maxRemovedLimits      = 4096
 )
 
-// removedLimit is the rate limit of a leaf without an entry. The entry may reappear, for
-// example after an outage of the store.
-type removedLimit struct {
-	startedAt time.Time
-	removedAt time.Time
-	limit     announcedLimit
-	bucket    tokenBucket
-}
-
-// keepLimit keeps the rate limit of a leaf whose entry is removed.
-func (b *Balancer) keepLimit(l *leafState, now time.Time) {
-	maps.DeleteFunc(b.removedLimits, func(_ anvilmodel.LeafName, r removedLimit) bool {
-		return now.Sub(r.removedAt) >= removedLimitRetention
-	})
-	if _, limited := l.limit.current(now); limited && len(b.removedLimits) < maxRemovedLimits {
-		b.removedLimits[l.leaf.Name] = removedLimit{
-			startedAt: l.leaf.StartedAt,
-			removedAt: now,
-			limit:     l.limit,
-			bucket:    l.bucket,
-		}
-	}
-}
-
-// restoreLimit restores the rate limit of a leaf whose entry reappears.
-func (b *Balancer) restoreLimit(state *leafState, l Leaf, now time.Time) {
-	r, ok := b.removedLimits[l.Name]
-	if !ok {
-		return
-	}
-	delete(b.removedLimits, l.Name)
-	if r.startedAt.Equal(l.StartedAt) && now.Sub(r.removedAt) < removedLimitRetention {
-		state.limit = r.limit
-		state.bucket = r.bucket
-	}
-}
-
 // RecordRateLimit records the rate limit that a leaf announces in a reply, and reports
 // whether it has changed.
 func (b *Balancer) RecordRateLimit(l Leaf, limit anvilmodel.RateLimit, now time.Time) bool {
-	state := b.leaves[l.Name]
-	if state == nil || !state.leaf.StartedAt.Equal(l.StartedAt) {
-		return false
-	}
-	return b.updateLimit(state, limit, now, now)
+	state := b.process(l)
+	return state != nil && b.updateLimit(state, limit, now, now)
 }
 
 // MergeRateLimit records a rate limit that another node passed on, unless this node has a
@@ -163,7 +118,7 @@
 		rate.perSecond = perSecond
 		limited = true
 	}
-	if coldRate := b.service(l.leaf.Service).settings.MaxColdRate; coldRate > 0 && now.Before(l.coldUntil) {
+	if coldRate := b.service(l.leaf.Service).settings.MaxColdRate; coldRate > 0 && l.cold(now) {
 		maxPerSecond := coldRate*b.config.ColdFactor + b.config.ColdSlack
 		rate.perSecond = min(rate.perSecond, coldRate, maxPerSecond*maxColdRateShare)
 		rate.burst = maxPerSecond * coldBurstShare
--- a/anvilbalance/ratelimit_test.go
+++ b/anvilbalance/ratelimit_test.go
@@ -213,7 +213,12 @@
 		}
 		for _, l := range b.DueHealthChecks(now) {
 			requests++
-			b.FinishHealthCheck(l, requests%2 == 0, now)
+			b.FinishHealthCheck(anvilbalance.HealthResult{
+				Leaf:     l,
+				Answered: requests%2 == 0,
+				Healthy:  requests%2 == 0,
+				SentAt:   now,
+			}, now)
 		}
 	}
 	if requests < 10 || requests > 20+5 {
--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -121,28 +123,39 @@
 // awaited until shortly after the deadline of the request. If a pooled connection turns
 // out to be closed by the leaf, a new one is used, but only if no byte of the call has
 // been sent.
-func (g *Gateway) call(ctx context.Context, outbound *outboundRequest, leaf anvilbalance.Leaf, deadline time.Time) *exchangeResult {
+func (g *Gateway) call(ctx context.Context, outbound *outboundRequest, c *leafCall) *exchangeResult {
+	leaf := c.leaf
+	startedAt := time.Now()
 	p := g.poolFor(leaf)
 	replyDeadline := outbound.deadline.Add(replySlack)
-	conn := p.get(time.Now(), replyDeadline, outbound.nonIdempotent)
+	conn, ended := p.get(startedAt, replyDeadline, outbound.nonIdempotent)
+	if ended {
+		g.suspectRestart(leaf, "connections closed")
+	}
 	for {
 		isNew := conn == nil
 		if isNew {
 			var err error
 			if conn, err = p.dial(ctx, replyDeadline); err != nil {
+				if ctx.Err() == nil {
+					g.suspectRestart(leaf, "no connection")
+				}
 				return &exchangeResult{
 					outcome: anvilbalance.OutcomeUnsent,
 					err:     err,
 				}
 			}
-			if g.declinesCalls(leaf) {
-				_ = conn.Close()
+			if !g.acceptsNewConnection(leaf, c.pickedAt) {
+				p.put(conn, time.Now(), g.maxIdleConnections(leaf))
 				return &exchangeResult{
 					outcome: anvilbalance.OutcomeWithdrawn,
 				}
 			}
 		}
-		r, sent := g.exchange(ctx, p, conn, outbound, leaf, deadline)
+		r, sent := g.exchange(ctx, p, conn, outbound, leaf, c.deadline)
+		if connectionEnded(r.err) && ctx.Err() == nil && !p.hasOpenSince(startedAt) {
+			g.suspectRestart(leaf, "connection ended")
+		}
 		if isNew || sent || ctx.Err() != nil {
 			return r
 		}
@@ -150,6 +163,12 @@
 	}
 }
 
+// connectionEnded reports whether a call failed because the leaf ended its connection.
+func connectionEnded(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // exchange sends the call over a connection of the pool and reads the reply. Afterwards
 // it returns the connection to the pool or closes it. sent is false only if no byte of
 // the call has been sent.
--- a/anvilgateway/connection.go
+++ b/anvilgateway/connection.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,8 @@
 	*boundedConn
 	rawConn syscall.RawConn
 	reader  *bufio.Reader
+	// openedAt is when the connection was opened.
+	openedAt time.Time
 	// idleSince and idleTimeout determine until when the connection may be used again.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -77,17 +80,21 @@
 // isReusable reports whether the connection is open and the leaf has sent nothing since
 // the last reply. Any such bytes would not belong to the next call.
 func (c *leafConn) isReusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	noData := false
+	open, noData := c.peek()
+	return open && noData && c.reader.Buffered() == 0
+}
+
+// peek reports whether the leaf has kept the connection open, and whether it has sent nothing
+// that has not been read.
+func (c *leafConn) peek() (open, noData bool) {
 	var peeked [1]byte
 	err := c.rawConn.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		noData = err == unix.EAGAIN
+		open = noData || err == nil && n > 0
 		return true
 	})
-	return err == nil && noData
+	return open && err == nil, noData
 }
 
 // connPool holds the connections to one leaf.
@@ -111,24 +118,39 @@
 
 // get returns an idle connection with the deadline set, or nil if none can be used. With
 // recentOnly, it returns only connections that have been idle for less than
-// maxNonIdempotentIdle.
-func (p *connPool) get(now, deadline time.Time, recentOnly bool) *leafConn {
+// maxNonIdempotentIdle. ended is set if there is none and the leaf has closed the last one.
+func (p *connPool) get(now, deadline time.Time, recentOnly bool) (conn *leafConn, ended bool) {
 	for {
 		c := p.popIdle()
 		if c == nil {
-			return nil
+			return nil, ended
 		}
 		// The deadline of the last call may have passed, in which case isReusable would
 		// fail. An error is reported by the write that follows.
 		_ = c.SetDeadline(deadline)
 		idle := now.Sub(c.idleSince)
 		if idle < c.idleTimeout && (!recentOnly || idle < maxNonIdempotentIdle) && c.isReusable() {
-			return c
+			return c, false
 		}
+		open, _ := c.peek()
+		ended = !open && idle < c.idleTimeout
 		_ = c.Close()
 	}
 }
 
+// hasOpenSince reports whether a connection that was opened before the given time is idle and
+// open, so that the process of the leaf has not ended since.
+func (p *connPool) hasOpenSince(opened time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, func(c *leafConn) bool {
+		// An expired deadline makes peek fail.
+		_ = c.SetDeadline(time.Time{})
+		open, _ := c.peek()
+		return open && c.openedAt.Before(opened)
+	})
+}
+
 // popIdle removes the most recently used connection from the pool.
 func (p *connPool) popIdle() *leafConn {
 	p.mu.Lock()
@@ -162,6 +184,7 @@
 		boundedConn: bounded,
 		rawConn:     rawConn,
 		reader:      bufio.NewReaderSize(bounded, readBufferSize),
+		openedAt:    time.Now(),
 		idleTimeout: defaultIdleTimeout,
 	}, nil
 }
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -47,6 +47,7 @@
 	headerLeaving   = "Test-Leaving"
 	headerInstance  = "Test-Instance"
 	headerRateLimit = "Test-Rate-Limit"
+	headerCold      = "Test-Cold"
 )
 
 func protocol() anvilgateway.Protocol {
@@ -68,6 +69,7 @@
 		},
 		DecodeReply: func(status int, h http.Header) anvilgateway.LeafReply {
 			retry, _ := time.ParseDuration(h.Get(headerRetry))
+			coldFor, _ := time.ParseDuration(h.Get(headerCold))
 			perSecond, err := strconv.ParseFloat(h.Get(headerRateLimit), 64)
 			return anvilgateway.LeafReply{
 				RequestID:      h.Get(headerID),
@@ -77,6 +79,7 @@
 				Leaving:        h.Get(headerLeaving) != "",
 				Leaf:           anvilmodel.LeafName(h.Get(headerInstance)),
 				RetryAfter:     retry,
+				ColdFor:        coldFor,
 				RateLimitKnown: true,
 				RateLimit: anvilmodel.RateLimit{
 					Limited:   err == nil,
@@ -302,6 +305,8 @@
 			MaxReplyBytes:   maxReplyBytes,
 			Balance: anvilbalance.Config{
 				RetrySlack: 50,
+				ColdFactor: coldFactor,
+				ColdSlack:  coldSlack,
 			},
 			Seed:    seed,
 			Log:     zerolog.Nop(),
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -134,8 +134,10 @@
 	// overloaded is set if the leaves have more queries than they can answer in time.
 	overloaded bool
 	state      *anvilgather.Request
-	completed  chan completedCall
-	calls      []*leafCall
+	// pickedAt is when leaves were last picked.
+	pickedAt  time.Time
+	completed chan completedCall
+	calls     []*leafCall
 	// partReplies holds the successful replies, indexed by part of the request.
 	partReplies []*exchangeResult
 	// lastFailure is the most recent reply of a leaf with a failure.
@@ -177,6 +179,7 @@
 		Pick: func(c anvilbalance.PickRequest, now time.Time) (anvilbalance.Leaf, anvilbalance.PickStatus) {
 			g.balancerMu.Lock()
 			defer g.balancerMu.Unlock()
+			s.pickedAt = now
 			return g.balancer.Pick(c, now)
 		},
 	})
@@ -276,6 +279,7 @@
 				kind:      a.CallKind,
 				leaf:      a.Leaf,
 				deadline:  a.Deadline,
+				pickedAt:  s.pickedAt,
 			}
 			s.calls = append(s.calls, c)
 			go c.run(callsCtx)
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -18,6 +18,8 @@
 	leaf      anvilbalance.Leaf
 	// deadline is the time until which the leaf may work on the call.
 	deadline time.Time
+	// pickedAt is when the leaf was picked.
+	pickedAt time.Time
 	// state ensures that an overdue call is reported to the balancer before its end, or
 	// not at all.
 	state atomic.Int32
@@ -45,7 +47,7 @@
 	s := c.parent
 	g := s.gateway
 	start := time.Now()
-	r := g.call(ctx, s.outbound, c.leaf, c.deadline)
+	r := g.call(ctx, s.outbound, c)
 	elapsed := time.Since(start)
 	leaving, deferral := r.reply.availability(c.leaf, r.status)
 	limit, limitKnown := r.reply.rateLimit(c.leaf)
--- a/anvilgateway/leaves.go
+++ b/anvilgateway/leaves.go
@@ -117,26 +117,31 @@
 	}
 }
 
-// checkHealth runs a health check of an ejected leaf and reports the result to the
+// checkHealth runs a health check of a leaf that was ejected or may have restarted, and reports the result to the
 // balancer.
 func (g *Gateway) checkHealth(l anvilbalance.Leaf) {
 	g.balancerMu.Lock()
 	path := g.balancer.ServiceSettings(l.Service).HealthPath
 	g.balancerMu.Unlock()
-	healthy := false
+	result := anvilbalance.HealthResult{
+		Leaf:   l,
+		SentAt: time.Now(),
+	}
 	if path != "" {
-		var reply LeafReply
-		var status int
-		healthy, reply, status = g.sendHealthCheck(l, path)
+		healthy, reply, status := g.sendHealthCheck(l, path)
 		g.recordHealthReply(l, reply, status)
+		result.Healthy = healthy
+		result.Answered = status != 0
+		result.ColdFor = reply.ColdFor
 	}
 	g.balancerMu.Lock()
-	g.balancer.FinishHealthCheck(l, healthy, time.Now())
+	returned := g.balancer.FinishHealthCheck(result, time.Now())
 	g.balancerMu.Unlock()
-	g.config.Metrics.Add(anvilmetric.LeafHealthChecks, 1, outcomeLabel(healthy))
-	if healthy {
+	g.config.Metrics.Add(anvilmetric.LeafHealthChecks, 1, outcomeLabel(result.Healthy))
+	if returned || result.ColdFor > 0 {
 		g.config.Log.Info().Str("event", "leaf-returned").Str("leaf", string(l.Name)).
-			Str("service", string(l.Service)).Str("cause", "health check succeeded").Send()
+			Str("service", string(l.Service)).Str("cause", "health check succeeded").
+			Bool("was-ejected", returned).Dur("cold-for-ms", result.ColdFor).Send()
 	}
 }
 
--- a/anvilgateway/notice.go
+++ b/anvilgateway/notice.go
@@ -34,12 +34,25 @@
 	return r.RateLimit, r.RateLimitKnown && r.isFrom(l)
 }
 
-// declinesCalls reports whether the leaf has announced that it currently accepts no
-// calls.
-func (g *Gateway) declinesCalls(l anvilbalance.Leaf) bool {
+// acceptsNewConnection reports whether a call that was picked at the given time may be sent
+// over a new connection. It may not if the leaf has meanwhile announced that it accepts no
+// calls, or if it may have restarted and gets enough calls for a cold leaf.
+func (g *Gateway) acceptsNewConnection(l anvilbalance.Leaf, pickedAt time.Time) bool {
 	g.balancerMu.Lock()
 	defer g.balancerMu.Unlock()
-	return g.balancer.DeclinesCalls(l, time.Now())
+	now := time.Now()
+	return !g.balancer.DeclinesCalls(l, now) && g.balancer.AllowsNewConnection(l, pickedAt, now)
+}
+
+// suspectRestart reports to the balancer that the process of a leaf may have ended.
+func (g *Gateway) suspectRestart(l anvilbalance.Leaf, cause string) {
+	g.balancerMu.Lock()
+	isNew := g.balancer.SuspectRestart(l, time.Now())
+	g.balancerMu.Unlock()
+	if isNew {
+		g.config.Log.Info().Str("event", "leaf-restart-suspected").Str("leaf", string(l.Name)).
+			Str("service", string(l.Service)).Str("cause", cause).Send()
+	}
 }
 
 // recordCallResult reports the result of a call to the balancer.
