--- a/anvilbalance/restart_test.go
+++ b/anvilbalance/restart_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"anvilbridge/anvilbalance"
 	"anvilbridge/anvilroute"
 )
@@ -145,3 +147,42 @@
 	}
 }
 
+// Guards against forgetting what a leaf has announced when its entry lapses or cannot be read
+// for a moment and comes back: how long it accepts no calls, and how long it stays cold. Six
+// to nine requests reached a leaf that wanted none.
+func TestAnnouncementsOutliveEntry(t *testing.T) {
+	const deferral = 40 * time.Second
+	for name, restarted := range map[string]bool{
+		"same process":    false,
+		"another process": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 1)
+			l, _ := pick(b, anvilbalance.CallFirst, start)
+			b.RemoveLeaf(l.Name, start, 0)
+			// The reply arrives while the entry is missing.
+			b.Finish(anvilbalance.CallResult{
+				Leaf:     l,
+				Route:    "r",
+				Outcome:  anvilbalance.OutcomeShed,
+				Deferral: deferral,
+			}, start.Add(time.Millisecond))
+			entry := testLeaf(0)
+			want := anvilbalance.PickNoLeaf
+			if restarted {
+				entry.StartedAt = start
+				want = anvilbalance.PickOK
+			}
+			back := start.Add(4 * time.Second)
+			b.SetLeaf(entry, back)
+			_, got := pick(b, anvilbalance.CallFirst, back)
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("status of a pick after the entry's return (-want +got):\n%s", diff)
+			}
+			_, got = pick(b, anvilbalance.CallFirst, start.Add(deferral+time.Second))
+			if diff := cmp.Diff(anvilbalance.PickOK, got); diff != "" {
+				t.Errorf("status of a pick after the deferral (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
