Stop listing lost nodes that nobody else can confirm as dead

Cause: a suspect is dead with two witnesses, or with one if no other member is live. Suspects counted as live, so that one node beside two suspects waited for a second witness that could not exist, and suspects are listed. With more survivors, many deaths at once were found one by one in the round robin, and their updates did not fit into the messages.

Change: a node does not list a suspect that it has itself not reached for the suspicion timeout. If no other member is alive and nothing accepts connections at a suspect's address, it is dead with one witness. A member that does not answer the request for an indirect probe is probed itself, suspects with one witness are probed by about two members a second, and while many updates are queued a node sends three more messages a second. Without a refused connection a lone node still declares nobody dead, because it may be the one that is cut off (TestPartitionHeals).

The simulation's check of deaths with one witness has one more case: no member may be alive, and no process may run at the address.

--- a/anviladdress/answer.go
+++ b/anviladdress/answer.go
@@ -55,8 +55,8 @@
 
 // Choose returns a random choice of eligible nodes: those of the caller's failure domain
 // first, unless they are overloaded according to LocalShares, and suspects last. Nodes
-// that are dead, leaving, not serving, not announced or in an excluded failure domain are
-// never chosen. This node is chosen under the same rules, also if there is no other.
+// that are dead, unreachable, leaving, not serving, not announced or in an excluded failure
+// domain are never chosen. This node is chosen under the same rules, also if there is no other.
 func Choose(input Input) Answer {
 	if input.Count <= 0 {
 		input.Count = DefaultCount
@@ -88,5 +88,5 @@
 	default:
 		return false
 	}
-	return m.Serving && m.Incarnation != 0 && m.CallerAddress.IsValid() && !slices.Contains(excluded, m.FailureDomain)
+	return m.Serving && !m.Unreachable && m.Incarnation != 0 && m.CallerAddress.IsValid() && !slices.Contains(excluded, m.FailureDomain)
 }
--- a/anvilcapacity/memberfleet.go
+++ b/anvilcapacity/memberfleet.go
@@ -164,7 +164,7 @@
 	f.counts.probes++
 	f.count(anvilmember.RequestSize(p.Request))
 	fail := func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
-		m.HandleProbeFailure(p.ID, now, a)
+		m.HandleProbeFailure(p.ID, false, now, a)
 	}
 	to := f.byAddress[p.Address]
 	if to == nil || to.down || f.apart && to.region != n.region {
--- a/anvilmember/attempt.go
+++ b/anvilmember/attempt.go
@@ -21,8 +21,10 @@
 	// indirect is true once the indirect probes were started.
 	indirect       bool
 	indirectProbes []indirectProbe
-	// failedProbers are the members whose indirect probe did not reach the target.
+	// failedProbers are the members whose indirect probe did not reach the target, and
+	// silentProbers those that have not answered.
 	failedProbers []anvilmodel.VMName
+	silentProbers []anvilmodel.VMName
 	done          bool
 }
 
@@ -164,6 +166,35 @@
 		r.unresponsive = true
 	case r.isLive():
 		m.addWitnesses(r, append([]anvilmodel.VMName{m.self.Member.Name}, attempt.failedProbers...), "no reply", a)
+		m.probeAfterMassFailure(attempt, a)
+	}
+}
+
+// probeAfterMassFailure probes the members that were to probe the target of the attempt and
+// have not answered, and some others if none of them has.
+func (m *Membership) probeAfterMassFailure(attempt *probeAttempt, a *Actions) {
+	for _, p := range attempt.indirectProbes {
+		attempt.silentProbers = append(attempt.silentProbers, p.prober)
+	}
+	if len(attempt.silentProbers) == 0 {
+		return
+	}
+	var silent, others []*record
+	for _, r := range m.records {
+		switch {
+		case r.member.Status != anvilmodel.MemberAlive:
+		case slices.Contains(attempt.silentProbers, r.member.Name):
+			silent = append(silent, r)
+		default:
+			others = append(others, r)
+		}
+	}
+	if len(attempt.failedProbers) == 0 {
+		m.config.Random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		silent = append(silent, others[:min(massFailureProbes, len(others))]...)
+	}
+	for _, r := range silent {
+		m.startProbe(r, a)
 	}
 }
 
--- a/anvilmember/clock.go
+++ b/anvilmember/clock.go
@@ -47,6 +47,7 @@
 		if r.member.Status == anvilmodel.MemberSuspect {
 			r.witnesses = nil
 			r.suspectedAt = m.elapsed
+			m.setUnreachable(r, false)
 		}
 	}
 }
--- a/anvilmember/config.go
+++ b/anvilmember/config.go
@@ -38,6 +38,18 @@
 	// as they receive an update about the suspicion. Each becomes a witness or gives
 	// the suspect an opportunity to refute.
 	confirmingMembers = 8
+	// massFailureProbes is the number of further members probed at once after a probe to
+	// which neither the target nor the members that were to probe it have answered. In a
+	// fleet of which most members are lost, the round robin alone would find them one by one.
+	massFailureProbes = 8
+	// unconfirmedProbes is how often all members together probe a suspect with too few
+	// witnesses per probe interval, and maxUnconfirmedProbes bounds those probes per node.
+	unconfirmedProbes    = 2
+	maxUnconfirmedProbes = 32
+	// maxPendingUpdates is the number of queued updates about suspected and dead members
+	// above which members are probed in addition, catchUpProbes per probe interval: after the
+	// loss of many members the usual messages have no space for all updates.
+	maxPendingUpdates = 4
 	// maxConfirmationProbes limits these probes per node and probe interval, so that
 	// the loss of a whole failure domain does not multiply the probe traffic.
 	maxConfirmationProbes = 2
--- a/anvilmember/conflict.go
+++ b/anvilmember/conflict.go
@@ -130,5 +130,5 @@
 			m.resolveOwnConflict(r, a)
 		}
 	}
-	m.probeRandomMembers(a)
+	m.probeRandomMembers(announcementProbes, a)
 }
--- a/anvilmember/handle.go
+++ b/anvilmember/handle.go
@@ -91,8 +91,9 @@
 	m.tryAnnounce(a)
 }
 
-// HandleProbeFailure records that the probe with the ID got no reply.
-func (m *Membership) HandleProbeFailure(id uint64, now time.Time, a *Actions) {
+// HandleProbeFailure records that the probe with the ID got no reply. refused is set if no
+// process accepts connections at the address.
+func (m *Membership) HandleProbeFailure(id uint64, refused bool, now time.Time, a *Actions) {
 	m.advanceTime(now, a)
 	if i := slices.IndexFunc(m.relayedProbes, func(p relayedProbe) bool { return p.id == id }); i >= 0 {
 		relayed := m.relayedProbes[i]
@@ -104,8 +105,10 @@
 	switch {
 	case attempt == nil:
 	case indirectIndex >= 0:
+		attempt.silentProbers = append(attempt.silentProbers, attempt.indirectProbes[indirectIndex].prober)
 		m.finishIndirectProbe(attempt, indirectIndex, a)
 	case !attempt.indirect:
+		attempt.target.refused = refused
 		m.startIndirectProbes(attempt, a)
 	}
 }
@@ -139,6 +142,7 @@
 	if from.Incarnation != r.member.Incarnation {
 		return false
 	}
+	r.refused = false
 	r.reachedAt = m.elapsed
 	r.updatedAt = m.elapsed
 	m.withdrawSuspicion(r, a)
--- a/anvilmember/membership.go
+++ b/anvilmember/membership.go
@@ -180,7 +180,7 @@
 	m.cachedMembers = nil
 	if state.Leaving && member.Status != anvilmodel.MemberLeaving {
 		member.Status = anvilmodel.MemberLeaving
-		m.probeRandomMembers(a)
+		m.probeRandomMembers(announcementProbes, a)
 	}
 }
 
@@ -195,6 +195,17 @@
 	return n
 }
 
+// aliveCount returns the number of other members that are alive and not suspected.
+func (m *Membership) aliveCount() int {
+	n := 0
+	for _, r := range m.records {
+		if r.member.Status == anvilmodel.MemberAlive {
+			n++
+		}
+	}
+	return n
+}
+
 // retransmitLimit returns how many times each queued update is sent: 3 log2(n) times
 // for n live members.
 func (m *Membership) retransmitLimit() uint8 {
--- a/anvilmember/merge.go
+++ b/anvilmember/merge.go
@@ -94,6 +94,7 @@
 	member := &r.member
 	previous := *member
 	*member = update.Member
+	r.refused = false
 	fillMissingFields(member, &previous)
 	r.version = 0
 	r.versionEpoch = never
@@ -241,9 +242,10 @@
 // it after it received an update that it was suspected or declared dead.
 func (m *Membership) mergeRefutation(r *record, refutationCount uint32, a *Actions) {
 	previous := r.member.Status
-	selfWitness := slices.Contains(r.witnesses, m.self.Member.Name)
+	selfWitness := r.isWitness(m.self.Member.Name)
 	r.member.RefutationCount = refutationCount
 	r.witnesses = nil
+	m.setUnreachable(r, false)
 	if previous == anvilmodel.MemberAlive {
 		return
 	}
@@ -305,6 +307,7 @@
 		m.suspectCount++
 	}
 	r.member.Status = status
+	r.member.Unreachable = false
 	m.cachedMembers = nil
 }
 
--- a/anvilmember/probe.go
+++ b/anvilmember/probe.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"anvilbridge/anvilmodel"
 )
 
 // Tick does the work that is due. The owner calls it at the time that Next returns or
@@ -52,6 +54,43 @@
 	}
 	m.probeOwnDomain(a)
 	m.probeStale(a)
+	m.probeUnconfirmed(a)
+	if m.countPendingUpdates() > maxPendingUpdates {
+		m.probeRandomMembers(catchUpProbes, a)
+	}
+}
+
+// probeUnconfirmed probes suspects that have too few witnesses. All alive members together
+// probe each suspect about unconfirmedProbes times per probe interval.
+func (m *Membership) probeUnconfirmed(a *Actions) {
+	if m.suspectCount == 0 {
+		return
+	}
+	m.scratch = m.scratch[:0]
+	for _, r := range m.records {
+		if r.member.Status == anvilmodel.MemberSuspect && len(r.witnesses) < requiredWitnesses && !r.isWitness(m.self.Member.Name) {
+			m.scratch = append(m.scratch, r)
+		}
+	}
+	expected := float64(len(m.scratch)*unconfirmedProbes) / float64(m.aliveCount()+1)
+	count := min(int(expected+m.config.Random.Float64()), len(m.scratch), maxUnconfirmedProbes)
+	m.config.Random.Shuffle(len(m.scratch), func(i, j int) {
+		m.scratch[i], m.scratch[j] = m.scratch[j], m.scratch[i]
+	})
+	for _, r := range slices.Clone(m.scratch[:count]) {
+		m.startProbe(r, a)
+	}
+}
+
+// countPendingUpdates returns the number of queued updates about suspected and dead members.
+func (m *Membership) countPendingUpdates() int {
+	n := 0
+	for _, r := range m.updateQueue {
+		if r.sendsLeft > 0 && (r.pendingUpdate == updateSuspected || r.pendingUpdate == updateDead) {
+			n++
+		}
+	}
+	return n
 }
 
 // probeOwnDomain probes a random member of this node's failure domain if the domain is
@@ -149,18 +188,18 @@
 	}
 }
 
-// probeRandomMembers probes several members at once to announce a change of this node.
-func (m *Membership) probeRandomMembers(a *Actions) {
+// probeRandomMembers probes several members at once to pass on updates.
+func (m *Membership) probeRandomMembers(count int, a *Actions) {
 	m.scratch = m.scratch[:0]
 	for _, r := range m.records {
-		if r.isLive() {
+		if r.member.Status == anvilmodel.MemberAlive {
 			m.scratch = append(m.scratch, r)
 		}
 	}
 	m.config.Random.Shuffle(len(m.scratch), func(i, j int) {
 		m.scratch[i], m.scratch[j] = m.scratch[j], m.scratch[i]
 	})
-	for _, r := range m.scratch[:min(announcementProbes, len(m.scratch))] {
+	for _, r := range slices.Clone(m.scratch[:min(count, len(m.scratch))]) {
 		m.startProbe(r, a)
 	}
 }
--- a/anvilmember/record.go
+++ b/anvilmember/record.go
@@ -51,6 +51,8 @@
 	// was reported dead without enough evidence.
 	unresponsive bool
 	removed      bool
+	// refused is true if no process accepted the connection of this node's last probe.
+	refused bool
 	// triedListAddress is true if probeAddress returned the listed address last.
 	triedListAddress bool
 	pendingUpdate    updateKind
@@ -97,6 +99,10 @@
 	return true
 }
 
+func (r *record) isWitness(name anvilmodel.VMName) bool {
+	return slices.Contains(r.witnesses, name)
+}
+
 func (r *record) removeWitness(name anvilmodel.VMName) {
 	if i := slices.Index(r.witnesses, name); i >= 0 {
 		r.witnesses = slices.Delete(slices.Clone(r.witnesses), i, i+1)
--- a/anvilmember/simulation_test.go
+++ b/anvilmember/simulation_test.go
@@ -49,8 +49,11 @@
 	pendingResponses []func(anvilmember.Response)
 	list             []anvilmodel.ListedVM
 	listDown         bool
-	nextList         time.Time
-	lossRate         float64
+	// refusesStopped makes probes of stopped processes fail at once, as those of a killed
+	// process do while its machine runs on.
+	refusesStopped bool
+	nextList       time.Time
+	lossRate       float64
 	// isCut reports whether messages from one node to another are lost.
 	isCut func(from, to anvilmodel.VMName) bool
 	// unreachable is a node that receives no requests, while its own are answered.
@@ -201,8 +204,9 @@
 	}
 }
 
-// checkDeath checks that a member is declared dead on a single witness only if it is not
-// in the VM list or no other member is live, and that each witness failed in an exchange.
+// checkDeath checks that a member is declared dead on a single witness only if it is not in
+// the VM list, if no other member is live, or if none is alive and nothing runs at the
+// member's address, and that each witness failed in an exchange.
 func (sim *simulation) checkDeath(process *simulatedProcess, event anvilmember.Event) {
 	required := 2
 	switch event.Cause {
@@ -214,6 +218,16 @@
 				sim.failf("%s: %+v, but it is listed", process.self.Name, event)
 			}
 		}
+	case "one witness, no process at its address":
+		required = 1
+		for _, member := range process.Members() {
+			if member.Name != process.self.Name && member.Status == anvilmodel.MemberAlive {
+				sim.failf("%s: %+v, but %s is alive", process.self.Name, event, member.Name)
+			}
+			if member.Name == event.Member && sim.byAddress[member.PeerAddress] != nil {
+				sim.failf("%s: %+v, but its process runs", process.self.Name, event)
+			}
+		}
 	case "one witness, no other live member":
 		required = 1
 		for _, member := range process.Members() {
@@ -243,6 +257,19 @@
 	if probe.To == sim.unreachable {
 		return
 	}
+	if to == nil && sim.refusesStopped {
+		sim.messages = append(sim.messages, message{
+			at:       sim.now.Add(networkDelay),
+			to:       process.self.PeerAddress,
+			exchange: exchange,
+			deliver: func(receiver *simulatedProcess, a *anvilmember.Actions) {
+				if receiver == process {
+					process.HandleProbeFailure(probe.ID, true, sim.now, a)
+				}
+			},
+		})
+		return
+	}
 	sim.send(process, probe.Address, exchange, func(to *simulatedProcess, a *anvilmember.Actions) {
 		sim.pendingResponses = append(sim.pendingResponses, func(response anvilmember.Response) {
 			if response.Refused {
--- a/anvilmember/suspicion.go
+++ b/anvilmember/suspicion.go
@@ -32,7 +32,7 @@
 	if m.suspectCount == 0 {
 		return
 	}
-	live := 0
+	live, alive := m.liveCount(), m.aliveCount()
 	for _, r := range m.records {
 		if r.member.Status != anvilmodel.MemberSuspect || len(r.witnesses) == 0 {
 			continue
@@ -41,20 +41,33 @@
 		if waited < m.config.SuspicionTimeout {
 			continue
 		}
-		if live == 0 {
-			live = m.liveCount()
-		}
 		switch {
 		case len(r.witnesses) >= requiredWitnesses:
 			m.declareDead(r, "witnesses", a)
 		case m.listExcludes(r):
 			m.declareDead(r, "one witness, not in the VM list", a)
+		case alive == 0 && r.refused:
+			// No other member could be the second witness, and a node that is cut off gets
+			// no answers of machines.
+			m.declareDead(r, "one witness, no process at its address", a)
 		case live < twoWitnessMinMembers && waited >= 2*m.config.SuspicionTimeout:
 			m.declareDead(r, "one witness, no other live member", a)
+		default:
+			m.setUnreachable(r, r.isWitness(m.self.Member.Name))
 		}
 	}
 }
 
+// setUnreachable records whether this node has not reached a suspect for the suspicion
+// timeout. Callers are no longer directed to it then, even if the evidence is too weak to
+// declare it dead.
+func (m *Membership) setUnreachable(r *record, unreachable bool) {
+	if r.member.Unreachable != unreachable {
+		r.member.Unreachable = unreachable
+		m.cachedMembers = nil
+	}
+}
+
 // declareDead sets a member's status to dead and queues an update about it.
 func (m *Membership) declareDead(r *record, cause string, a *Actions) {
 	m.setStatus(r, anvilmodel.MemberDead)
@@ -70,6 +83,7 @@
 		return
 	}
 	r.removeWitness(m.self.Member.Name)
+	m.setUnreachable(r, false)
 	if len(r.witnesses) > 0 {
 		return
 	}
--- a/anvilmodel/node.go
+++ b/anvilmodel/node.go
@@ -54,6 +54,9 @@
 	PeerAddress netip.AddrPort
 	Incarnation Incarnation
 	Status      MemberStatus
+	// Unreachable is set if the node with this view has not reached a suspect for long, so
+	// that callers are not directed to it.
+	Unreachable bool
 	// Serving is false while the node does not accept requests, for example until it
 	// has a configuration.
 	Serving bool
--- a/anvilpeer/prober.go
+++ b/anvilpeer/prober.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"anvilbridge/anvilmember"
@@ -116,7 +118,7 @@
 	reply, err := p.config.Client.Probe(ctx, probe.Address, probe.Request)
 	p.Update(func(m *anvilmember.Membership, now time.Time, a *anvilmember.Actions) {
 		if err != nil {
-			m.HandleProbeFailure(probe.ID, now, a)
+			m.HandleProbeFailure(probe.ID, errors.Is(err, syscall.ECONNREFUSED), now, a)
 			return
 		}
 		m.HandleProbeReply(probe.ID, reply, now, a)
