Close the connection of a half-closed caller without an answer

Cause: a request whose caller has left ends without a response, and net/http then writes an empty one.

Change: the handler aborts the connection.

Tests: TestHalfClosedCallerGetsNoSuccess failed before (HTTP/1.1 200 OK, Content-Length: 0).

--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -207,6 +207,11 @@
 		s.respond(finish)
 	}
 	s.logCompletion(finish)
+	if finish == nil {
+		// The HTTP server would otherwise send an empty response with status 200 to a caller
+		// that has closed only its sending side.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // selectServices returns the services to call and counts the request for each of them. It
