Let a node that has just started stand in for no reader

A first copy counted as a successful read, so that other nodes took a node that had just started for a reader, although it neither watches nor verifies for its first 2.5 s. If the first two nodes by hash restarted together, the nodes that had taken over could stop while nobody else reads the store for up to 2.2 s.

A read counts only once the node has settled, and a node tries to stand in for missing readers only then. The second read that is started when one is overdue is awaited before the next, and the time of a read is that of the one that succeeded.

Test: TestChangesTakeEffectAfterReadersRestart.

--- a/anvilcapacity/copy.go
+++ b/anvilcapacity/copy.go
@@ -183,7 +183,7 @@
 		readers := 0
 		for i := range members {
 			members[0], members[i] = members[i], members[0]
-			if table.Role(members, now).Reads {
+			if table.Role(members, true, now).Reads {
 				readers++
 			}
 			members[0], members[i] = members[i], members[0]
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -33,8 +33,6 @@
 	// another node with a fresh copy, answers. New sets it, because a new node has not
 	// reached the store yet.
 	outageSince time.Time
-	// loadedAt is when the first snapshot was applied.
-	loadedAt time.Time
 	// readFailed is set once a read of the store has failed.
 	readFailed bool
 	// loadNow is closed to end the start delay when a caller waits for the copy.
@@ -179,8 +177,8 @@
 		f.confirmedAt = confirmedAt
 	}
 	applied := f.mirror.Apply(c)
-	if f.loadedAt.IsZero() && f.mirror.Loaded() {
-		f.loadedAt = now
+	if f.mirror.Loaded() {
+		f.config.Roles.recordLoaded(now)
 	}
 	if len(applied) == 0 {
 		return false
@@ -194,14 +192,6 @@
 	return true
 }
 
-// isSettled reports whether this node has had its copy for long enough to have discovered
-// the other readers.
-func (f *Follower) isSettled(now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.loadedAt.IsZero() && now.Sub(f.loadedAt) >= settleTime
-}
-
 // LoadNow ends the start delay, because a caller waits for the copy.
 func (f *Follower) LoadNow() {
 	f.loadNowOnce.Do(func() { close(f.loadNow) })
@@ -231,7 +221,7 @@
 			// miss changes.
 			f.watchRevision = 0
 		}
-		if loaded && (!current.watches() || !f.isSettled(now)) {
+		if loaded && !current.watches() {
 			f.awaitRole(ctx, current)
 			continue
 		}
@@ -240,9 +230,6 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			if !loaded {
-				f.config.Roles.recordSuccess(time.Now())
-			}
 			f.storeFound()
 			retry = minRetryDelay
 			sleep(ctx, watchPause)
--- a/anvilfollower/readers_test.go
+++ b/anvilfollower/readers_test.go
@@ -185,3 +185,31 @@
 		}
 	}
 }
+
+// Guards against a fleet without readers because the first nodes by hash have restarted: they
+// count as readers by their first copy and do not watch the store yet.
+func TestChangesTakeEffectAfterReadersRestart(t *testing.T) {
+	for _, nodes := range []int{4, 26} {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, uint64(nodes)))
+			ctx, cancel := context.WithCancel(t.Context())
+			store := newStore(seed)
+			store.write(configurationKey, false)
+			r := &rejection{
+				fleet: newFleet(ctx, store, nodes, random),
+			}
+			time.Sleep(2 * applyLimit)
+			for range 8 {
+				for _, i := range r.byHash()[:2] {
+					r.restart(i)
+				}
+				time.Sleep(time.Duration(random.Int64N(int64(applyLimit))))
+				revision := store.write(configurationKey, false)
+				time.Sleep(applyLimit)
+				r.check(t, "readers restarted", configurationKey, revision, applyLimit)
+			}
+			cancel()
+			r.tasks.Wait()
+		})
+	}
+}
--- a/anvilfollower/roles.go
+++ b/anvilfollower/roles.go
@@ -40,6 +40,8 @@
 
 	mu    sync.Mutex
 	table *anvilmirror.ReaderTable
+	// loadedAt is when this node first had a copy; zero before.
+	loadedAt time.Time
 	// readers are the members that read the store, as of the last call of role.
 	readers []anvilmodel.VMName
 	// changed is closed and replaced when the readers change.
@@ -90,13 +92,16 @@
 	pollWait time.Duration
 	// self is the name of this node.
 	self anvilmodel.VMName
+	// settled is set if this node has had a copy for long enough to have discovered the
+	// readers.
+	settled bool
 	// changed is closed when the readers change.
 	changed <-chan struct{}
 }
 
 // watches reports whether the node keeps watches of the store open.
 func (r role) watches() bool {
-	return r.Reads && r.Active
+	return r.Reads && r.Active && r.settled
 }
 
 // current returns the role of this node. It wakes those that wait for a change if the
@@ -111,8 +116,9 @@
 // update returns the role of the first member. The caller must hold mu.
 func (r *Roles) update(members []anvilmodel.Member, now time.Time) role {
 	current := role{
-		ReaderRole: r.table.Role(members, now),
+		settled: !r.loadedAt.IsZero() && now.Sub(r.loadedAt) >= settleTime,
 	}
+	current.ReaderRole = r.table.Role(members, current.settled, now)
 	current.pollWait = pollWait(current.Position.Depth)
 	if len(members) > 0 {
 		current.self = members[0].Name
@@ -141,6 +147,15 @@
 	return strings.Join(texts, " ")
 }
 
+// recordLoaded records that this node has a copy.
+func (r *Roles) recordLoaded(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loadedAt.IsZero() {
+		r.loadedAt = now
+	}
+}
+
 // recordSuccess records that the store has answered this node.
 func (r *Roles) recordSuccess(now time.Time) {
 	members := r.config.Members()
--- a/anvilfollower/set.go
+++ b/anvilfollower/set.go
@@ -73,7 +73,7 @@
 	for requested := false; ctx.Err() == nil; {
 		now := time.Now()
 		current := s.Roles.current(now)
-		if !current.Reads || !s.Configuration.isSettled(now) || current.Active && now.Before(nextAt) && !requested {
+		if !current.Reads || !current.settled || current.Active && now.Before(nextAt) && !requested {
 			limit := roleCheckInterval
 			if current.Reads && current.Active && nextAt.After(now) {
 				limit = min(limit, nextAt.Sub(now))
@@ -129,20 +129,32 @@
 	type result struct {
 		changes anvilmirror.Changes
 		err     error
+		elapsed time.Duration
 	}
 	readCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan result, 2)
+	results := make(chan result)
+	open := 0
+	defer func() {
+		cancel()
+		for ; open > 0; open-- {
+			<-results
+		}
+	}()
 	read := func() {
+		startedAt := time.Now()
 		c, err := f.readAll(readCtx, kindVerify)
 		results <- result{
 			changes: c,
 			err:     err,
+			elapsed: time.Since(startedAt),
 		}
 	}
+	start := func() {
+		open++
+		go read()
+	}
+	start()
 	startedAt := time.Now()
-	go read()
-	open := 1
 	overdue := time.NewTimer(max(minOverdueTime, min(2*s.lastReadTime, maxOverdueTime)))
 	defer overdue.Stop()
 	for {
@@ -150,19 +162,19 @@
 		case r := <-results:
 			open--
 			if r.err == nil {
-				s.lastReadTime = time.Since(startedAt)
+				s.lastReadTime = r.elapsed
 				return r.changes, nil
 			}
-			if ctx.Err() == nil && open == 0 {
-				s.storeLost(r.err)
+			if open > 0 {
+				continue
 			}
-			if open == 0 {
-				return r.changes, r.err
+			if ctx.Err() == nil {
+				s.storeLost(r.err)
 			}
+			return r.changes, r.err
 		case <-overdue.C:
 			s.storeLost(StoreOverdue.New("the store has not answered a read within %s", time.Since(startedAt)))
-			open++
-			go read()
+			start()
 		}
 	}
 }
--- a/anvilmirror/readers.go
+++ b/anvilmirror/readers.go
@@ -215,8 +215,9 @@
 	NextTrialAt time.Time
 }
 
-// Role returns the role of the first member.
-func (t *ReaderTable) Role(members []anvilmodel.Member, now time.Time) ReaderRole {
+// Role returns the role of the first member. A member that is not settled has not yet had the
+// time to learn which others read the store, and does not stand in for them.
+func (t *ReaderTable) Role(members []anvilmodel.Member, settled bool, now time.Time) ReaderRole {
 	if len(members) == 0 {
 		return ReaderRole{
 			Reads:     true,
@@ -243,7 +244,7 @@
 	role.Readers = role.Readers[:min(t.config.Count, len(role.Readers))]
 	role.Roots = t.roots(role.Readers, now)
 	role.Position = treePosition(self.Name, t.byHash, role.Roots, t.config.Count, t.config.FanOut)
-	if len(before)+len(after) >= t.config.Count {
+	if len(before)+len(after) >= t.config.Count || !settled {
 		t.shortSince = time.Time{}
 	} else if t.shortSince.IsZero() {
 		t.shortSince = now
--- a/anvilmirror/tree_test.go
+++ b/anvilmirror/tree_test.go
@@ -37,7 +37,7 @@
 	}
 	readers := 0
 	for i := range members {
-		if table.Role(viewOf(members, i), now).Reads {
+		if table.Role(viewOf(members, i), true, now).Reads {
 			readers++
 		}
 	}
