--- a/anvilfollower/roles.go
+++ b/anvilfollower/roles.go
@@ -42,7 +42,7 @@
 	table *anvilmirror.ReaderTable
 	// loadedAt is when this node first had a copy; zero before.
 	loadedAt time.Time
-	// readers are the members that read the store, as of the last call of role.
+	// readers are the members that read the store, as of the last call of update.
 	readers []anvilmodel.VMName
 	// changed is closed and replaced when the readers change.
 	changed chan struct{}
