Count all reads of the store in large fleets

Cause: a node counted only readers that its view of the membership shows with a copy. In a fleet of 117 the states of members take tens of seconds to spread, so that nodes without a known reader read the store themselves.

Change: a read that is passed on counts for any node that is not known to be out of use, and such a node can be a root of the replication tree.

--- a/anvilfollower/roles.go
+++ b/anvilfollower/roles.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// standInDelay is how long a node has had its copy before it stands in for missing readers.
+	// By then it has learned of the readers of a fleet that has just started.
+	standInDelay = 2 * settleTime
 	// minTrialDelay is the least time between two attempts of a node to read the store in
 	// place of missing readers. nodesPerTrial makes a fleet of any size try about four times
 	// a second.
@@ -118,7 +121,8 @@
 	current := role{
 		settled: !r.loadedAt.IsZero() && now.Sub(r.loadedAt) >= settleTime,
 	}
-	current.ReaderRole = r.table.Role(members, current.settled, now)
+	standsIn := current.settled && now.Sub(r.loadedAt) >= standInDelay
+	current.ReaderRole = r.table.Role(members, standsIn, now)
 	current.pollWait = pollWait(current.Position.Depth)
 	if len(members) > 0 {
 		current.self = members[0].Name
--- a/anvilmirror/readers.go
+++ b/anvilmirror/readers.go
@@ -66,10 +66,11 @@
 // few rounds, and one that answers nobody gets few calls.
 type ReaderTable struct {
 	config ReaderConfig
-	// members are those of the last call of Role, and byHash those of them that have a copy,
-	// without the first, in the order of the hashes.
+	// members are those of the last call of Role, byHash those of them that have a copy,
+	// without the first, in the order of the hashes, and byName all of them.
 	members []anvilmodel.Member
 	byHash  []anvilmodel.Member
+	byName  map[anvilmodel.VMName]anvilmodel.Member
 	states  map[anvilmodel.VMName]*readerState
 	// shortSince is when fewer than count other readers became known; zero while there are
 	// enough.
@@ -234,17 +235,16 @@
 	if s := t.states[self.Name]; s != nil {
 		role.Active = s.active(now, lifetime)
 	}
-	before := t.active(t.byHash[:rank], lifetime, now)
-	after := t.active(t.byHash[rank:], lifetime, now)
-	role.Readers = slices.Clone(before)
+	others := t.activeOthers(lifetime, now)
+	before, _ := slices.BinarySearchFunc(others, self.Name, anvilmodel.CompareByHash)
+	role.Readers = slices.Clone(others)
 	if role.Active && isCandidate {
-		role.Readers = append(role.Readers, self.Name)
+		role.Readers = slices.Insert(role.Readers, before, self.Name)
 	}
-	role.Readers = append(role.Readers, after...)
 	role.Readers = role.Readers[:min(t.config.Count, len(role.Readers))]
 	role.Roots = t.roots(role.Readers, now)
-	role.Position = treePosition(self.Name, t.byHash, role.Roots, t.config.Count, t.config.FanOut)
-	if len(before)+len(after) >= t.config.Count || !settled {
+	role.Position = treePosition(self.Name, t.withRoots(role.Roots), role.Roots, t.config.Count, t.config.FanOut)
+	if len(others) >= t.config.Count || !settled {
 		t.shortSince = time.Time{}
 	} else if t.shortSince.IsZero() {
 		t.shortSince = now
@@ -258,7 +258,7 @@
 		role.Reads = true
 		role.Permanent = true
 	case role.Active:
-		role.Reads = len(before) < t.config.Count
+		role.Reads = before < t.config.Count
 	case !t.shortSince.IsZero():
 		role.NextTrialAt = t.shortSince.Add(time.Duration(trialRound(rank, t.config.Count)) * trialInterval)
 		role.Reads = !now.Before(role.NextTrialAt)
@@ -273,23 +273,43 @@
 	}
 	t.members = members
 	t.byHash = withCopyByHash(members[1:])
+	t.byName = make(map[anvilmodel.VMName]anvilmodel.Member, len(members))
+	for _, m := range members {
+		t.byName[m.Name] = m
+	}
 	t.prune(now)
 }
 
-// active returns the names of at most the wanted number of members that read the store.
-func (t *ReaderTable) active(byHash []anvilmodel.Member, lifetime time.Duration, now time.Time) []anvilmodel.VMName {
+// activeOthers returns the names of the other nodes that read the store, in the order of the
+// hashes. In a large fleet a node learns of reads before it knows all members and their
+// copies, so only members that are known to be out of use do not count.
+func (t *ReaderTable) activeOthers(lifetime time.Duration, now time.Time) []anvilmodel.VMName {
 	var names []anvilmodel.VMName
-	for _, m := range byHash {
-		if len(names) == t.config.Count {
-			break
-		}
-		if s := t.states[m.Name]; s != nil && s.active(now, lifetime) {
-			names = append(names, m.Name)
+	for name, s := range t.states {
+		m, known := t.byName[name]
+		outOfUse := known && m.Status != anvilmodel.MemberAlive && m.Status != anvilmodel.MemberUnknown
+		if name != t.members[0].Name && !outOfUse && s.active(now, lifetime) {
+			names = append(names, name)
 		}
 	}
+	slices.SortFunc(names, anvilmodel.CompareByHash)
 	return names
 }
 
+// withRoots returns the members that have a copy, those of the roots included that are not
+// known to have one.
+func (t *ReaderTable) withRoots(roots []anvilmodel.VMName) []anvilmodel.Member {
+	candidates := t.byHash
+	for _, name := range roots {
+		m, known := t.byName[name]
+		if !known || name == t.members[0].Name || hasCopy(m) || m.Status != anvilmodel.MemberAlive || !m.PeerAddress.IsValid() {
+			continue
+		}
+		candidates = slices.Insert(slices.Clone(candidates), rankByHash(candidates, name), m)
+	}
+	return candidates
+}
+
 // roots returns the readers, and in addition the first of the other members that have not
 // failed lately.
 func (t *ReaderTable) roots(readers []anvilmodel.VMName, now time.Time) []anvilmodel.VMName {
