Stop reading the store once two earlier nodes do

A node whose view of a large fleet shows fewer than two earlier nodes with a copy took itself for one of the readers for good. It now stops when it learns that two nodes before it read the store.

--- a/anvilfollower/readers_test.go
+++ b/anvilfollower/readers_test.go
@@ -213,3 +213,28 @@
 		})
 	}
 }
+
+// Guards against a large fleet in which many nodes read the store, because the states of the
+// members take tens of seconds to spread and nodes do not see that the readers have a copy.
+// On test run cpws-grind-large the calls took a tenth of the worth of a calm day. The
+// users' issue allows 800 calls in a day of that fleet.
+func TestFewNodesReadStoreWhileStatesSpread(t *testing.T) {
+	const callsPerDay = 800
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newStore(seed)
+		store.write(configurationKey, false)
+		f := newFleet(ctx, store, 117, rand.New(rand.NewPCG(seed, 117)))
+		f.mu.Lock()
+		f.hideCopies = true
+		clear(f.views)
+		f.mu.Unlock()
+		time.Sleep(30 * time.Second)
+		if calls := store.calls(); calls > callsPerDay {
+			t.Errorf("%d calls in the first 30 s, want at most %d in a day", calls, callsPerDay)
+		}
+		t.Logf("%d calls in the first 30 s", store.calls())
+		cancel()
+		f.tasks.Wait()
+	})
+}
--- a/anvilfollower/simulation_test.go
+++ b/anvilfollower/simulation_test.go
@@ -33,6 +33,8 @@
 	networkDelay = time.Millisecond
 	// callTimeout is the timeout of a call of the store.
 	callTimeout = 1500 * time.Millisecond
+	// hiddenCopies is how many members there are for each one that is known to have a copy.
+	hiddenCopies = 20
 	// gossipInterval is the time between two exchanges of the nodes' revisions, and so their
 	// maximum age.
 	gossipInterval = time.Second
@@ -272,6 +274,9 @@
 	members []anvilmodel.Member
 	// views holds the members as each node lists them, itself first.
 	views map[int][]anvilmodel.Member
+	// hideCopies makes each node list all but a few of the others without a copy, as in a
+	// large fleet whose states take long to spread.
+	hideCopies bool
 }
 
 // node is a node with its copies.
@@ -469,7 +474,13 @@
 	}
 	if f.views[index] == nil {
 		view := append([]anvilmodel.Member{f.members[index]}, f.members[:index]...)
-		f.views[index] = append(view, f.members[index+1:]...)
+		view = append(view, f.members[index+1:]...)
+		for i := 1; f.hideCopies && i < len(view); i++ {
+			if (i+index)%hiddenCopies != 0 {
+				view[i].ConfigRevision = 0
+			}
+		}
+		f.views[index] = view
 	}
 	return f.views[index]
 }
--- a/anvilmirror/readers.go
+++ b/anvilmirror/readers.go
@@ -253,12 +253,12 @@
 	case len(t.byHash) < t.config.Count:
 		role.Reads = true
 		role.Permanent = true
-	case !isCandidate:
+	case !isCandidate || before >= t.config.Count:
 	case rank < t.config.Count:
 		role.Reads = true
 		role.Permanent = true
 	case role.Active:
-		role.Reads = before < t.config.Count
+		role.Reads = true
 	case !t.shortSince.IsZero():
 		role.NextTrialAt = t.shortSince.Add(time.Duration(trialRound(rank, t.config.Count)) * trialInterval)
 		role.Reads = !now.Before(role.NextTrialAt)
