Restore a log event and a reason, and word comments of the fixes plainly

store-verify-failed had been renamed without need, and the reason why readers need not serve callers was gone. A condition that stood twice is one. No change of behaviour.

--- a/anvilbalance/removed.go
+++ b/anvilbalance/removed.go
@@ -15,8 +15,8 @@
 )
 
 // removedLeaf is the state of a leaf without an entry. The entry may reappear, for example
-// after missed reports, an outage of the store or an unreadable entry. What the process of
-// the leaf has announced holds on.
+// after missed reports, an outage of the store or an unreadable entry. What the process has
+// announced remains in force.
 type removedLeaf struct {
 	state     *leafState
 	removedAt time.Time
--- a/anvilcapacity/copy.go
+++ b/anvilcapacity/copy.go
@@ -170,7 +170,7 @@
 		Target{What: "all nodes", Size: designNodes, Unit: "reads/s", Limit: designReads})
 	for _, n := range fleets.list {
 		members := designMembers(n)
-		// All nodes have read the store at their start.
+		// All nodes have read the store.
 		now := time.Now()
 		table := anvilmirror.NewReaderTable(anvilmirror.ReaderConfig{
 			Count:    copyReaders,
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -220,8 +220,6 @@
 			// By the time this node watches the store again, a watch from this revision could
 			// miss changes.
 			f.watchRevision = 0
-		}
-		if loaded && !current.watches() {
 			f.awaitRole(ctx, current)
 			continue
 		}
--- a/anvilfollower/roles.go
+++ b/anvilfollower/roles.go
@@ -189,7 +189,7 @@
 		delay := max(minTrialDelay, time.Duration(len(members))*time.Second/nodesPerTrial)
 		r.retryAt = now.Add(delay/2 + r.randomDuration(delay))
 	}
-	r.config.Log.Debug().Str("event", "store-read-failed").Bool("reader", current.Active).
+	r.config.Log.Debug().Str("event", "store-verify-failed").Bool("reader", current.Active).
 		Dur("retry-ms", r.retryAt.Sub(now)).Err(err).Send()
 	r.table.RecordLoss(current.self, now)
 	r.update(members, now)
--- a/anvilgateway/leaves.go
+++ b/anvilgateway/leaves.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// checkHealth runs a health check of a leaf that was ejected or may have restarted, and reports the result to the
-// balancer.
+// checkHealth runs a health check of a leaf that was ejected or may have restarted, and
+// reports the result to the balancer.
 func (g *Gateway) checkHealth(l anvilbalance.Leaf) {
 	g.balancerMu.Lock()
 	path := g.balancer.ServiceSettings(l.Service).HealthPath
--- a/anvilmember/suspicion.go
+++ b/anvilmember/suspicion.go
@@ -47,8 +47,8 @@
 		case m.listExcludes(r):
 			m.declareDead(r, "one witness, not in the VM list", a)
 		case alive == 0 && r.refused:
-			// No other member could be the second witness, and a node that is cut off gets
-			// no answers of machines.
+			// No other member could be the second witness. A refused connection shows that
+			// the machine is reachable, so that this node is not the one that is cut off.
 			m.declareDead(r, "one witness, no process at its address", a)
 		case live < twoWitnessMinMembers && waited >= 2*m.config.SuspicionTimeout:
 			m.declareDead(r, "one witness, no other live member", a)
--- a/anvilmirror/readers.go
+++ b/anvilmirror/readers.go
@@ -13,8 +13,8 @@
 	// are missing. With a third of the store's callers turned away, 32 nodes include one
 	// that it serves.
 	maxTrialNodes = 32
-	// trialInterval is the time between two such rounds. A read that has not returned by then
-	// counts as failed.
+	// trialInterval is the time between two such rounds. It is longer than a read of a healthy
+	// store and the time in which its success reaches the other nodes.
 	trialInterval = 500 * time.Millisecond
 	// recentLossTime is how long the loss of the store by a node is passed on, and how long
 	// the node is no root of the replication tree if there are others.
@@ -63,7 +63,8 @@
 // The readers are the first nodes by the hash of their names that the store answers. While
 // fewer than wanted are known, the nodes that follow in this order try to read the store, in
 // rounds of growing size. A store that turns the readers away is thus read again within a
-// few rounds, and one that answers nobody gets few calls.
+// few rounds, and one that answers nobody gets few calls. Whether a node serves callers does
+// not matter, because all may be out of service at once while leaves are lost.
 type ReaderTable struct {
 	config ReaderConfig
 	// members are those of the last call of Role, byHash those of them that have a copy,
@@ -72,7 +73,7 @@
 	byHash  []anvilmodel.Member
 	byName  map[anvilmodel.VMName]anvilmodel.Member
 	states  map[anvilmodel.VMName]*readerState
-	// shortSince is when fewer than count other readers became known; zero while there are
+	// shortSince is since when fewer other readers are known than wanted; zero while there are
 	// enough.
 	shortSince time.Time
 }
--- a/anvilmirror/tree_test.go
+++ b/anvilmirror/tree_test.go
@@ -25,7 +25,7 @@
 			ConfigRevision: 5,
 		})
 	}
-	// All nodes have read the store at their start.
+	// All nodes have read the store.
 	now := time.Unix(1_000_000, 0)
 	table := anvilmirror.NewReaderTable(anvilmirror.ReaderConfig{
 		Count:    2,
