Log a cold leaf apart from one that returns

leaf-returned means again that an ejected leaf is used, as operators match it. A warm-up stated in a health response has an event of its own, leaf-cold.

--- a/anvilgateway/leaves.go
+++ b/anvilgateway/leaves.go
@@ -138,10 +138,13 @@
 	returned := g.balancer.FinishHealthCheck(result, time.Now())
 	g.balancerMu.Unlock()
 	g.config.Metrics.Add(anvilmetric.LeafHealthChecks, 1, outcomeLabel(result.Healthy))
-	if returned || result.ColdFor > 0 {
+	if returned {
 		g.config.Log.Info().Str("event", "leaf-returned").Str("leaf", string(l.Name)).
-			Str("service", string(l.Service)).Str("cause", "health check succeeded").
-			Bool("was-ejected", returned).Dur("cold-for-ms", result.ColdFor).Send()
+			Str("service", string(l.Service)).Str("cause", "health check succeeded").Send()
+	}
+	if result.ColdFor > 0 {
+		g.config.Log.Info().Str("event", "leaf-cold").Str("leaf", string(l.Name)).
+			Str("service", string(l.Service)).Dur("cold-for-ms", result.ColdFor).Send()
 	}
 }
 
