--- a/review/_lab/client.go
+++ b/review/_lab/client.go
@@ -85,8 +85,10 @@
 	deadline time.Duration
 	// answeredAfter is the time until the whole answer was there; 0 if there was none.
 	answeredAfter time.Duration
-	status        int
-	err           error
+	// closedAt is when the client closed the connection because there was no answer.
+	closedAt time.Time
+	status   int
+	err      error
 }
 
 const connectTimeout = time.Second
@@ -150,6 +152,7 @@
 	if s.err != nil {
 		u.lab.rec.add("client: %s failed after %.3f s: %v", s.id, time.Since(s.at).Seconds(), s.err)
 		u.disconnect()
+		s.closedAt = time.Now()
 		return s
 	}
 	s.answeredAfter = time.Since(s.at)
--- a/review/_lab/crowded.go
+++ b/review/_lab/crowded.go
@@ -17,7 +17,7 @@
 	crowdTimeout = 4 * time.Second
 	// crowdLength is how long the users send requests, and crowdLossAt when the other
 	// machines are lost.
-	crowdLength = 60 * time.Second
+	crowdLength = 70 * time.Second
 	crowdLossAt = 16 * time.Second
 	// finalAnswerSlack is how long after its timeout a request may get its final answer.
 	finalAnswerSlack = 500 * time.Millisecond
@@ -28,20 +28,22 @@
 	maxUnansweredShare = 0.25
 )
 
-// crowdedGateway loses all machines but one. The users connect to the one that is left.
-func crowdedGateway(l *lab) (bool, error) {
+// crowd starts the site and lets the users send requests for crowdLength. After crowdLossAt all
+// machines but one are lost. The connection of a user lasts for a session, whose length the
+// function returns. crowd returns all requests and the machine that is left.
+func crowd(l *lab, timeout time.Duration, session func() time.Duration) ([]sent, *gateway, time.Time, error) {
 	const service = "archive"
 	if err := l.startLeaves(service, 6, 8, 90*time.Millisecond); err != nil {
-		return false, err
+		return nil, nil, time.Time{}, err
 	}
 	l.store.put(word("config-key"), configuration(7, []map[string]any{
 		route("r-archive", "/archive/", service, word("non-idempotent"), crowdTimeout),
 	}, []string{service}, 96))
 	if err := l.startGateways(smallSite); err != nil {
-		return false, err
+		return nil, nil, time.Time{}, err
 	}
 	if err := l.awaitReady(); err != nil {
-		return false, err
+		return nil, nil, time.Time{}, err
 	}
 	time.Sleep(10 * time.Second)
 	start := time.Now()
@@ -59,14 +61,18 @@
 			}
 			defer u.disconnect()
 			time.Sleep(time.Duration(rand.Int64N(int64(crowdPause))))
+			sessionEnd := time.Now().Add(session())
 			for time.Since(start) < crowdLength {
 				next := time.Now().Add(crowdPause)
-				// The client waits longer than the route allows, to see when its answer comes.
-				s := u.ask("POST", "/archive/pull", "deposit", 2*crowdTimeout)
+				s := u.ask("POST", "/archive/pull", "deposit", timeout)
 				mu.Lock()
 				all = append(all, s)
 				mu.Unlock()
 				time.Sleep(time.Until(next))
+				if time.Until(sessionEnd) < 0 {
+					u.disconnect()
+					sessionEnd = time.Now().Add(session())
+				}
 			}
 		})
 	}
@@ -78,7 +84,17 @@
 		}
 	}
 	users.Wait()
-	judgedFrom := start.Add(crowdLossAt + stability)
+	return all, left, start.Add(crowdLossAt + stability), nil
+}
+
+// crowdedGateway loses all machines but one. The users connect to the one that is left, and
+// keep their connections. The clients wait longer than the route allows, to see when the final
+// answer comes.
+func crowdedGateway(l *lab) (bool, error) {
+	all, left, judgedFrom, err := crowd(l, 2*crowdTimeout, func() time.Duration { return time.Hour })
+	if err != nil {
+		return false, err
+	}
 	long, unanswered, answered := 0, 0, 0
 	for _, s := range all {
 		if s.address != left.frontAddress() || s.at.Before(judgedFrom) {
@@ -99,3 +115,43 @@
 		left.Name, (crowdLossAt + stability).Seconds(), answered, long, unanswered, finalAnswerSlack)
 	return unanswered >= minUnanswered && float64(unanswered) > maxUnansweredShare*float64(long), nil
 }
+
+const (
+	// goneSlack is how long after its client has closed the connection a request may still
+	// reach a leaf, and maxGone the number of requests that may come later.
+	goneSlack = 500 * time.Millisecond
+	maxGone   = 10
+	// minSession and sessionSpread give the lengths of the users' sessions.
+	minSession    = 30 * time.Second
+	sessionSpread = 20 * time.Second
+)
+
+// lateRequests loses all machines but one, like crowdedGateway. Sessions of users end, and new
+// users come. The clients close the connection when their time budget is over.
+func lateRequests(l *lab) (bool, error) {
+	all, left, judgedFrom, err := crowd(l, crowdTimeout, func() time.Duration {
+		return minSession + time.Duration(rand.Int64N(int64(sessionSpread)))
+	})
+	if err != nil {
+		return false, err
+	}
+	gaveUp, late := 0, 0
+	var latest time.Duration
+	for _, s := range all {
+		if s.address != left.frontAddress() || s.at.Before(judgedFrom) || s.closedAt.IsZero() {
+			continue
+		}
+		gaveUp++
+		for _, f := range l.leaves {
+			for _, at := range f.runs(s.id) {
+				if after := at.Sub(s.closedAt); after > goneSlack {
+					late++
+					latest = max(latest, after)
+				}
+			}
+		}
+	}
+	l.rec.add("requests to %s from %.0f s on whose client closed the connection without an answer: %d; %d of them ran more than %v after that, the latest after %.1f s",
+		left.Name, (crowdLossAt + stability).Seconds(), gaveUp, late, goneSlack, latest.Seconds())
+	return late > maxGone, nil
+}
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -78,6 +78,8 @@
 // broken.
 var scenarios = map[string]func(*lab) (broken bool, err error){
 	"crowded-gateway": crowdedGateway,
+	"late-requests":   lateRequests,
+	"busy-leaf":       busyLeaf,
 }
 
 func main() {
