--- a/review/_lab/busy.go
+++ b/review/_lab/busy.go
@@ -82,8 +82,11 @@
 		l.store.put(key, busy.entry("ready"))
 	}
 	users.Wait()
-	broken := false
+	broken, sampled := false, false
 	for _, g := range l.gateways {
+		if !g.running() {
+			return false, errEnded
+		}
 		var first time.Time
 		times := busy.refusals(gatewayOf, g.frontAddress())
 		for _, at := range times {
@@ -99,6 +102,10 @@
 		}
 		l.rec.add("leaf %s got %d requests from %s, %d of them later than %v after the first answer with Retry-After", busy.name, len(times), g.Name, late, busySlack)
 		broken = broken || late > maxBusyRequests
+		sampled = sampled || len(times) > 0
+	}
+	if !sampled {
+		return false, errNoSample
 	}
 	return broken, nil
 }
--- a/review/_lab/crowded.go
+++ b/review/_lab/crowded.go
@@ -84,6 +84,9 @@
 		}
 	}
 	users.Wait()
+	if !left.running() {
+		return nil, nil, time.Time{}, errEnded
+	}
 	return all, left, start.Add(crowdLossAt + stability), nil
 }
 
@@ -113,6 +116,9 @@
 	}
 	l.rec.add("requests to %s from %.0f s on: %d answered, %d took longer than their timeout, %d of them without a final answer %v later",
 		left.Name, (crowdLossAt + stability).Seconds(), answered, long, unanswered, finalAnswerSlack)
+	if answered == 0 {
+		return false, errNoSample
+	}
 	return unanswered >= minUnanswered && float64(unanswered) > maxUnansweredShare*float64(long), nil
 }
 
@@ -135,10 +141,14 @@
 	if err != nil {
 		return false, err
 	}
-	gaveUp, late := 0, 0
+	gaveUp, late, answered := 0, 0, 0
 	var latest time.Duration
 	for _, s := range all {
-		if s.address != left.frontAddress() || s.at.Before(judgedFrom) || s.closedAt.IsZero() {
+		if s.address != left.frontAddress() || s.at.Before(judgedFrom) {
+			continue
+		}
+		if s.closedAt.IsZero() {
+			answered++
 			continue
 		}
 		gaveUp++
@@ -153,5 +163,8 @@
 	}
 	l.rec.add("requests to %s from %.0f s on whose client closed the connection without an answer: %d; %d of them ran more than %v after that, the latest after %.1f s",
 		left.Name, (crowdLossAt + stability).Seconds(), gaveUp, late, goneSlack, latest.Seconds())
+	if answered == 0 {
+		return false, errNoSample
+	}
 	return late > maxGone, nil
 }
--- a/review/_lab/lab.go
+++ b/review/_lab/lab.go
@@ -206,6 +206,16 @@
 	g.process = nil
 }
 
+// running reports whether the process has not ended.
+func (g *gateway) running() bool {
+	select {
+	case <-g.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // ready reports whether the readiness check succeeds.
 func (g *gateway) ready() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -223,7 +233,11 @@
 	return response.StatusCode == http.StatusOK
 }
 
-var errNotReady = errors.New("a gateway is not ready after 20 s")
+var (
+	errNotReady = errors.New("a gateway is not ready after 20 s")
+	errEnded    = errors.New("a gateway that was not killed has ended")
+	errNoSample = errors.New("no request reached what the case is about")
+)
 
 // awaitReady waits until all gateways are ready.
 func (l *lab) awaitReady() error {
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -11,10 +11,12 @@
 	_ "embed"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -82,6 +84,24 @@
 	"busy-leaf":       busyLeaf,
 }
 
+// maxRunTime bounds a run.
+const maxRunTime = 118 * time.Second
+
+// endEarly ends the run with exitNoRun on a signal or after maxRunTime. The gateways are killed
+// when this process ends.
+func (l *lab) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case received := <-signals:
+		l.rec.add("could not run to the end: %v", received)
+	case <-time.After(maxRunTime):
+		l.rec.add("could not run to the end within %v", maxRunTime)
+	}
+	_ = os.RemoveAll(l.dir)
+	os.Exit(exitNoRun)
+}
+
 func main() {
 	// The gateways get a signal when the thread that started them ends.
 	runtime.LockOSThread()
@@ -104,6 +124,7 @@
 		return exitNoRun
 	}
 	defer l.close()
+	go l.endEarly()
 	broken, err := scenarios[os.Args[1]](l)
 	switch {
 	case err != nil:
