--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -27,6 +27,10 @@
 	// changed is closed and replaced to wake the polls of other nodes that wait for a
 	// change.
 	changed chan struct{}
+	// storeEra is the era of the store at the last read, and storeEraKnown is set once there
+	// was one.
+	storeEra      uint64
+	storeEraKnown bool
 	// confirmedAt is when the store last confirmed that the copy lacks no change.
 	confirmedAt time.Time
 	// outageSince is when the store became unreachable. It is zero while the store, or
@@ -279,6 +283,7 @@
 	}
 	f.config.CountRead("watch", err == nil)
 	if err == nil {
+		f.observeEra(c.Era, c.WatchRevision)
 		f.watchRevision = max(f.watchRevision, c.WatchRevision)
 		// A watch may have missed changes, so it does not confirm the copy.
 		f.applyChanges(anvilmirror.Changes{
@@ -298,6 +303,9 @@
 	}
 	c, err := read(readCtx, f.config.Prefix)
 	f.config.CountRead(kind, err == nil)
+	if err == nil {
+		f.observeEra(c.Era, c.CompleteRevision)
+	}
 	if err == nil && f.applyChanges(c, 0) && kind == kindVerify {
 		f.config.Log.Info().Str("event", "watch-was-behind").Str("prefix", f.config.Prefix).
 			Uint64("revision", c.CompleteRevision).Send()
@@ -305,6 +313,19 @@
 	return c, err
 }
 
+// observeEra logs that the store has been restored from an older copy since the last read.
+func (f *Follower) observeEra(era, revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeEraKnown && f.storeEra != era {
+		f.config.Log.Warn().Str("event", "store-era-changed").Str("prefix", f.config.Prefix).
+			Uint64("before", f.storeEra).Uint64("era", era).Uint64("revision", revision).
+			Uint64("held", f.mirror.LatestRevision()).Send()
+	}
+	f.storeEra = era
+	f.storeEraKnown = true
+}
+
 // initialReadAll reads all items. While the store does not answer, it starts further reads
 // in addition to those that are open. The first successful one counts.
 func (f *Follower) initialReadAll(ctx context.Context, prefix string) (anvilmirror.Changes, error) {
--- a/anvilmirror/mirror.go
+++ b/anvilmirror/mirror.go
@@ -28,6 +28,9 @@
 // Changes holds the changes after a revision, or a snapshot of all items.
 type Changes struct {
 	Items []Item
+	// Era is the number of times that the store has been restored from an older copy. A
+	// restored store gives revisions of the era before out again.
+	Era uint64
 	// After is the revision that the changes follow; 0 for a snapshot.
 	After uint64
 	// CompleteRevision is the revision up to which a mirror that is complete up to
--- a/anvilplatform/client.go
+++ b/anvilplatform/client.go
@@ -96,7 +96,7 @@
 		anvilwire.ParameterWait:  []string{wait.String()},
 	}
 	limit := int64(c.config.MaxDocumentBytes)*int64(c.config.MaxDocuments)*maxJSONGrowth + jsonOverhead
-	status, body, err := c.reader.Get(ctx, Request{
+	reply, err := c.reader.Get(ctx, Request{
 		Address: c.config.ConfigAddress,
 		Path:    anvilwire.PathConfigRead,
 		Query:   query,
@@ -106,15 +106,15 @@
 	if err != nil {
 		return ConfigReply{}, err
 	}
-	if status == http.StatusNotModified {
+	if reply.Status == http.StatusNotModified {
 		return ConfigReply{
 			NotModified: true,
 		}, nil
 	}
-	if status != http.StatusOK {
-		return ConfigReply{}, BadStatus.New("read configuration: HTTP status %d", status)
+	if reply.Status != http.StatusOK {
+		return ConfigReply{}, BadStatus.New("read configuration: HTTP status %d", reply.Status)
 	}
-	return c.decodeConfig(body)
+	return c.decodeConfig(reply.Body)
 }
 
 func (c *Client) decodeConfig(body []byte) (ConfigReply, error) {
@@ -139,7 +139,7 @@
 // ListVMs reads the published list of live and leaving VMs. It returns
 // Unreachable, TimedOut, BadStatus, TooLarge or Malformed.
 func (c *Client) ListVMs(ctx context.Context) ([]anvilmodel.ListedVM, error) {
-	status, body, err := c.reader.Get(ctx, Request{
+	reply, err := c.reader.Get(ctx, Request{
 		Address: c.config.ListAddress,
 		Path:    anvilwire.PathVMList,
 		Timeout: c.config.Timeout,
@@ -148,10 +148,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if status != http.StatusOK {
-		return nil, BadStatus.New("read VM list: HTTP status %d", status)
+	if reply.Status != http.StatusOK {
+		return nil, BadStatus.New("read VM list: HTTP status %d", reply.Status)
 	}
-	vms, err := anvilwire.DecodeVMList(body)
+	vms, err := anvilwire.DecodeVMList(reply.Body)
 	if err != nil {
 		return nil, Malformed.Wrap(err, "read VM list")
 	}
--- a/anvilplatform/client_test.go
+++ b/anvilplatform/client_test.go
@@ -202,7 +202,7 @@
 			dialer := net.Dialer{}
 			reader := anvilplatform.NewReader(dialer.DialContext)
 			defer reader.Close()
-			_, _, err = reader.Get(t.Context(), anvilplatform.Request{
+			_, err = reader.Get(t.Context(), anvilplatform.Request{
 				Address: server.Address(),
 				Path:    "/x",
 				Timeout: testTimeout,
--- a/anvilplatform/reader.go
+++ b/anvilplatform/reader.go
@@ -25,6 +25,13 @@
 	Limit int64
 }
 
+// Reply is the reply to a Request.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
 // Reader sends GET requests to services of the platform over persistent connections. It
 // is safe for concurrent use.
 type Reader struct {
@@ -44,9 +51,8 @@
 	}
 }
 
-// Get returns the status and the body of the reply. It returns Unreachable, TimedOut or
-// TooLarge.
-func (r *Reader) Get(ctx context.Context, request Request) (int, []byte, error) {
+// Get returns the reply. It returns Unreachable, TimedOut or TooLarge.
+func (r *Reader) Get(ctx context.Context, request Request) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
 	defer cancel()
 	target := url.URL{
@@ -57,21 +63,25 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
 	if err != nil {
-		return 0, nil, Unreachable.Wrap(err, "read %s", request.Path)
+		return Reply{}, Unreachable.Wrap(err, "read %s", request.Path)
 	}
 	resp, err := r.transport.RoundTrip(req)
 	if err != nil {
-		return 0, nil, wrapTransportError(err, request.Path)
+		return Reply{}, wrapTransportError(err, request.Path)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, request.Limit+1))
 	if err != nil {
-		return 0, nil, wrapTransportError(err, request.Path)
+		return Reply{}, wrapTransportError(err, request.Path)
 	}
 	if int64(len(body)) > request.Limit {
-		return 0, nil, TooLarge.New("read %s: reply exceeds %d bytes", request.Path, request.Limit)
+		return Reply{}, TooLarge.New("read %s: reply exceeds %d bytes", request.Path, request.Limit)
 	}
-	return resp.StatusCode, body, nil
+	return Reply{
+		Status: resp.StatusCode,
+		Header: resp.Header,
+		Body:   body,
+	}, nil
 }
 
 // Close closes idle connections. Outstanding requests end with their context.
