Order copies of the store by era and revision

Cause: everything that orders by the store's revision took it for the only clock. A restored store gives revisions out again: version 13 got revision 73, which the copies held for version 11, so that reads, watches and the answers of other nodes dropped it. The same holds for the cursor and the digest between nodes, tombstones, the configuration that a member announces in its probes, and the cache of compressed values, which would have sent the earlier value.

Change: a version is an era and a revision. The restore begins the grace period for entries that lapse.

--- a/anvilfollower/config.go
+++ b/anvilfollower/config.go
@@ -76,6 +76,10 @@
 	// AfterOutage is set if the store is unreachable or was until a moment ago, so that
 	// entries may have been deleted because their heartbeats did not reach it.
 	AfterOutage bool
+	// Restored is set if the items are the differences of a restored store from the copy
+	// before. The store may lack what it had acknowledged, and list what had been deleted,
+	// until it is written again.
+	Restored bool
 	// Mirror is the copy after the changes. It must not be retained.
 	Mirror *anvilmirror.Mirror
 }
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -18,9 +18,9 @@
 type Follower struct {
 	config Config
 
-	// watchRevision is the store's revision from which the next watch continues; 0 makes
+	// watchFrom is the store's version from which the next watch continues; revision 0 makes
 	// the next read return all items. Only the goroutine that reads the store uses it.
-	watchRevision uint64
+	watchFrom anvilmirror.Version
 
 	mu     sync.Mutex
 	mirror *anvilmirror.Mirror
@@ -71,18 +71,18 @@
 	return f.mirror.Loaded()
 }
 
-// LatestRevision returns the highest revision of the changes received.
-func (f *Follower) LatestRevision() uint64 {
+// LatestVersion returns the version of the latest change received.
+func (f *Follower) LatestVersion() anvilmirror.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.mirror.LatestRevision()
+	return f.mirror.LatestVersion()
 }
 
-// CompleteRevision returns the revision up to which no change is missing.
-func (f *Follower) CompleteRevision() uint64 {
+// CompleteVersion returns the version up to which no change is missing.
+func (f *Follower) CompleteVersion() anvilmirror.Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.mirror.CompleteRevision()
+	return f.mirror.CompleteVersion()
 }
 
 // Run keeps the copy up to date from the store and other nodes until ctx ends.
@@ -98,6 +98,10 @@
 	f.mergeAnnouncements(request.Announcements)
 	f.config.Roles.merge(request.StoreReads, time.Now())
 	rolesChanged := f.config.Roles.current(time.Now()).changed
+	latest := anvilmirror.Version{
+		Era:      request.Era,
+		Revision: request.LatestRevision,
+	}
 	timer := time.NewTimer(min(request.Wait, maxPeerPollWait))
 	defer timer.Stop()
 	for waiting := request.Wait > 0; ; {
@@ -109,9 +113,10 @@
 		if !f.confirmedAt.IsZero() {
 			reply.Age = time.Since(f.confirmedAt)
 		}
-		ready := f.mirror.LatestRevision() > request.LatestRevision || !waiting
+		ready := f.mirror.LatestVersion().Compare(latest) > 0 || !waiting
 		if ready {
 			reply.Changes = f.mirror.ChangesSince(anvilmirror.Cursor{
+				Era:              request.Era,
 				CompleteRevision: request.CompleteRevision,
 				LatestRevision:   request.LatestRevision,
 				Digest:           request.Digest,
@@ -177,19 +182,33 @@
 	afterOutage := f.config.Roles.remainingGrace(now) > 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.mirror.Loaded() && c.Era < f.mirror.Era() {
+		return false
+	}
 	if confirmedAt := now.Add(-age); age >= 0 && confirmedAt.After(f.confirmedAt) {
 		f.confirmedAt = confirmedAt
 	}
+	restored := f.mirror.Loaded() && c.Era > f.mirror.Era() && c.Snapshot
+	if restored {
+		f.config.Roles.beginGrace(now)
+		f.config.Log.Warn().Str("event", "copy-replaced").Str("prefix", f.config.Prefix).
+			Uint64("era", c.Era).Uint64("revision", c.CompleteRevision).
+			Uint64("before", f.mirror.Era()).Uint64("held", f.mirror.LatestVersion().Revision).Send()
+	}
 	applied := f.mirror.Apply(c)
 	if f.mirror.Loaded() {
 		f.config.Roles.recordLoaded(now)
 	}
+	if restored {
+		f.wakeWaiters()
+	}
 	if len(applied) == 0 {
 		return false
 	}
 	f.config.Apply(Batch{
 		Items:       applied,
-		AfterOutage: afterOutage,
+		AfterOutage: afterOutage || restored,
+		Restored:    restored,
 		Mirror:      f.mirror,
 	})
 	f.wakeWaiters()
@@ -223,7 +242,7 @@
 		if loaded && !current.watches() {
 			// By the time this node watches the store again, a watch from this revision could
 			// miss changes.
-			f.watchRevision = 0
+			f.watchFrom = anvilmirror.Version{}
 			f.awaitRole(ctx, current)
 			continue
 		}
@@ -237,7 +256,7 @@
 			sleep(ctx, watchPause)
 		case errorx.IsOfType(err, HistoryGone):
 			f.config.Log.Info().Str("event", "store-history-gone").Str("prefix", f.config.Prefix).Send()
-			f.watchRevision = 0
+			f.watchFrom = anvilmirror.Version{}
 		default:
 			f.storeLost(time.Now(), err)
 			f.config.Roles.requestVerification()
@@ -266,10 +285,13 @@
 
 // readStore reads all items, or watches for the changes since the last read.
 func (f *Follower) readStore(ctx context.Context) error {
-	if f.watchRevision == 0 {
+	if f.watchFrom.Revision == 0 {
 		c, err := f.readAll(ctx, "read")
 		if err == nil {
-			f.watchRevision = c.CompleteRevision
+			f.watchFrom = anvilmirror.Version{
+				Era:      c.Era,
+				Revision: c.CompleteRevision,
+			}
 		}
 		return err
 	}
@@ -277,20 +299,26 @@
 	defer cancel()
 	f.setCancelWatch(cancel)
 	defer f.setCancelWatch(nil)
-	c, err := f.config.Watch(watchCtx, f.config.Prefix, f.watchRevision, f.currentWatchWait())
+	c, err := f.config.Watch(watchCtx, f.config.Prefix, f.watchFrom.Revision, f.currentWatchWait())
 	if watchCtx.Err() != nil {
 		return nil
 	}
 	f.config.CountRead("watch", err == nil)
-	if err == nil {
-		f.observeEra(c.Era, c.WatchRevision)
-		f.watchRevision = max(f.watchRevision, c.WatchRevision)
-		// A watch may have missed changes, so it does not confirm the copy.
-		f.applyChanges(anvilmirror.Changes{
-			Items: c.Items,
-		}, -1)
-	}
-	return err
+	if err != nil {
+		return err
+	}
+	f.observeEra(c.Era, c.WatchRevision)
+	if c.Era != f.watchFrom.Era {
+		// The watch continued from a revision that the store has given out again.
+		return HistoryGone.New("the store was restored: era %d instead of %d", c.Era, f.watchFrom.Era)
+	}
+	f.watchFrom.Revision = max(f.watchFrom.Revision, c.WatchRevision)
+	// A watch may have missed changes, so it does not confirm the copy.
+	f.applyChanges(anvilmirror.Changes{
+		Items: c.Items,
+		Era:   c.Era,
+	}, -1)
+	return nil
 }
 
 // readAll reads all items and applies the snapshot.
@@ -320,7 +348,7 @@
 	if f.storeEraKnown && f.storeEra != era {
 		f.config.Log.Warn().Str("event", "store-era-changed").Str("prefix", f.config.Prefix).
 			Uint64("before", f.storeEra).Uint64("era", era).Uint64("revision", revision).
-			Uint64("held", f.mirror.LatestRevision()).Send()
+			Uint64("held", f.mirror.LatestVersion().Revision).Send()
 	}
 	f.storeEra = era
 	f.storeEraKnown = true
@@ -399,12 +427,16 @@
 }
 
 // markConfirmed records that the store has just confirmed the copy and that no change up to
-// the revision is missing. Revision 0 leaves the complete revision as it is.
-func (f *Follower) markConfirmed(revision uint64) {
+// the version is missing. Revision 0 leaves the complete version as it is. A store of another
+// era confirms nothing.
+func (f *Follower) markConfirmed(v anvilmirror.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.mirror.Era() != v.Era {
+		return
+	}
 	f.confirmedAt = time.Now()
-	f.mirror.MarkComplete(revision)
+	f.mirror.MarkComplete(v)
 }
 
 // storeLost records that the store did not answer.
@@ -417,7 +449,7 @@
 	}
 	f.outageSince = now
 	f.config.Log.Warn().Str("event", "store-lost").Str("prefix", f.config.Prefix).
-		Uint64("revision", f.mirror.LatestRevision()).Err(err).Send()
+		Uint64("revision", f.mirror.LatestVersion().Revision).Err(err).Send()
 }
 
 // storeFound records that the store, or another node with a fresh copy, has answered.
@@ -428,7 +460,7 @@
 		return
 	}
 	f.config.Log.Info().Str("event", "store-found").Str("prefix", f.config.Prefix).
-		Uint64("revision", f.mirror.LatestRevision()).Dur("away-ms", time.Since(f.outageSince)).Send()
+		Uint64("revision", f.mirror.LatestVersion().Revision).Dur("away-ms", time.Since(f.outageSince)).Send()
 	f.outageSince = time.Time{}
 }
 
--- a/anvilfollower/peers.go
+++ b/anvilfollower/peers.go
@@ -80,6 +80,7 @@
 	cursor := f.mirror.Cursor()
 	request := anvilpeer.PublishedRequest{
 		Prefix:           f.config.Prefix,
+		Era:              cursor.Era,
 		CompleteRevision: cursor.CompleteRevision,
 		LatestRevision:   cursor.LatestRevision,
 		Digest:           cursor.Digest,
@@ -114,6 +115,10 @@
 		return reply.Age, nil
 	}
 	f.config.Roles.extendGrace(reply.GraceRemaining, time.Now())
+	if reply.Era < cursor.Era {
+		// The store may have confirmed this copy shortly before it was restored.
+		return -1, nil
+	}
 	f.applyChanges(reply.Changes, reply.Age)
 	return reply.Age, nil
 }
--- a/anvilfollower/roles.go
+++ b/anvilfollower/roles.go
@@ -301,6 +301,16 @@
 	return max(r.graceUntil.Sub(now), 0)
 }
 
+// beginGrace begins the grace period after a restore of the store, which lacks the entries
+// that were written since its copy was made until the leaves report again.
+func (r *Roles) beginGrace(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until := now.Add(OutageGrace); until.After(r.graceUntil) {
+		r.graceUntil = until
+	}
+}
+
 // extendGrace extends the grace period by the remaining one of another node, which may have
 // noticed an outage of the store that this node has not.
 func (r *Roles) extendGrace(remaining time.Duration, now time.Time) {
--- a/anvilfollower/set.go
+++ b/anvilfollower/set.go
@@ -94,25 +94,32 @@
 // verifyOnce reads the configuration, and the entries of leaves if needed. It returns when
 // the entries were last read.
 func (s *Set) verifyOnce(ctx context.Context, watching bool, leavesReadAt time.Time) time.Time {
-	knownRevision := s.latestRevision()
+	known := s.latestVersion()
 	c, err := s.readVerified(ctx, s.Configuration)
 	if err != nil {
 		return leavesReadAt
 	}
 	s.Roles.recordSuccess(time.Now())
 	s.Configuration.storeFound()
-	if c.CompleteRevision <= s.Leaves.CompleteRevision() {
-		s.Leaves.markConfirmed(c.CompleteRevision)
+	read := anvilmirror.Version{
+		Era:      c.Era,
+		Revision: c.CompleteRevision,
+	}
+	if read.Compare(s.Leaves.CompleteVersion()) <= 0 {
+		s.Leaves.markConfirmed(read)
 		s.Leaves.storeFound()
 		return leavesReadAt
 	}
-	watchBehind := c.CompleteRevision > knownRevision
-	if watchBehind && watching {
+	watchBehind := read.Compare(known) > 0
+	if watchBehind && watching && c.Era == known.Era {
 		sleep(ctx, maxWatchDelay)
-		watchBehind = c.CompleteRevision > s.latestRevision()
+		watchBehind = read.Compare(s.latestVersion()) > 0
 	}
-	if !watchBehind && time.Since(leavesReadAt) < leafVerifyInterval {
-		s.Leaves.markConfirmed(0)
+	restored := s.Leaves.CompleteVersion().Era != read.Era
+	if !watchBehind && !restored && time.Since(leavesReadAt) < leafVerifyInterval {
+		s.Leaves.markConfirmed(anvilmirror.Version{
+			Era: read.Era,
+		})
 		return leavesReadAt
 	}
 	if _, err := s.readVerified(ctx, s.Leaves); err != nil {
@@ -190,15 +197,19 @@
 	s.Leaves.cancelUnneededWatch()
 }
 
-// latestRevision returns the highest revision of the changes received for either prefix.
-func (s *Set) latestRevision() uint64 {
-	return max(s.Configuration.LatestRevision(), s.Leaves.LatestRevision())
+// latestVersion returns the version of the latest change received for either prefix.
+func (s *Set) latestVersion() anvilmirror.Version {
+	configuration, leaves := s.Configuration.LatestVersion(), s.Leaves.LatestVersion()
+	if leaves.Compare(configuration) > 0 {
+		return leaves
+	}
+	return configuration
 }
 
 // catchUp requests changes from a node that has a later configuration than this one.
 func (s *Set) catchUp(ctx context.Context) {
 	var behindSince time.Time
-	var requestedRevision uint64
+	var requested anvilmirror.Version
 	for ctx.Err() == nil {
 		sleep(ctx, catchUpInterval)
 		ahead, found := s.memberAhead()
@@ -210,18 +221,19 @@
 		case behindSince.IsZero():
 			behindSince = now
 			continue
-		case now.Sub(behindSince) < maxTreeDelay, ahead.ConfigRevision == requestedRevision:
+		case now.Sub(behindSince) < maxTreeDelay, configVersion(ahead) == requested:
 			continue
 		}
 		s.Configuration.config.Log.Info().Str("event", "behind-other-node").Str("member", string(ahead.Name)).
-			Uint64("revision", ahead.ConfigRevision).Uint64("held", s.Configuration.LatestRevision()).
+			Uint64("revision", ahead.ConfigRevision).Uint64("era", ahead.ConfigEra).
+			Uint64("held", s.Configuration.LatestVersion().Revision).
 			Dur("for-ms", now.Sub(behindSince)).Send()
 		// The age of its copy does not matter, since its configuration is later.
 		current := s.Roles.current(now)
 		if _, err := s.Configuration.pollPeer(ctx, ahead, current, 0, maxCopyAge); err != nil {
 			continue
 		}
-		requestedRevision = ahead.ConfigRevision
+		requested = configVersion(ahead)
 		// pollPeer logs a failure. The entries of leaves also arrive over the tree.
 		_, _ = s.Leaves.pollPeer(ctx, ahead, current, 0, maxCopyAge)
 	}
@@ -233,9 +245,17 @@
 	var ahead anvilmodel.Member
 	members := s.Configuration.config.Members()
 	for _, m := range members[min(1, len(members)):] {
-		if m.Status == anvilmodel.MemberAlive && m.PeerAddress.IsValid() && m.ConfigRevision > ahead.ConfigRevision {
+		if m.Status == anvilmodel.MemberAlive && m.PeerAddress.IsValid() && configVersion(m).Compare(configVersion(ahead)) > 0 {
 			ahead = m
 		}
 	}
-	return ahead, ahead.ConfigRevision > s.Configuration.LatestRevision()
+	return ahead, configVersion(ahead).Compare(s.Configuration.LatestVersion()) > 0
+}
+
+// configVersion returns the version of the configuration that a member uses.
+func configVersion(m anvilmodel.Member) anvilmirror.Version {
+	return anvilmirror.Version{
+		Era:      m.ConfigEra,
+		Revision: m.ConfigRevision,
+	}
 }
--- a/anvilgateway/members.go
+++ b/anvilgateway/members.go
@@ -101,11 +101,13 @@
 
 // updateSelfState passes the current state of this node to the membership.
 func (g *Gateway) updateSelfState() {
+	// Nodes with an older version fetch this one.
+	version := g.followers.Configuration.LatestVersion()
 	state := anvilmember.SelfState{
-		Load:        g.load.value(),
-		RequestRate: math.Float64frombits(g.requestRate.Load()),
-		// Nodes with an older revision fetch this one.
-		ConfigRevision: g.followers.Configuration.LatestRevision(),
+		Load:           g.load.value(),
+		RequestRate:    math.Float64frombits(g.requestRate.Load()),
+		ConfigRevision: version.Revision,
+		ConfigEra:      version.Era,
 		Serving:        g.table.Load() != nil && g.followers.Leaves.Loaded() && g.enoughShards.Load(),
 		Leaving:        g.shuttingDown.Load(),
 	}
--- a/anvilmember/config.go
+++ b/anvilmember/config.go
@@ -151,8 +151,9 @@
 	Load float64
 	// RequestRate is the number of requests per second from callers.
 	RequestRate float64
-	// ConfigRevision is the store revision of the configuration in use.
+	// ConfigRevision is the store revision of the configuration in use, and ConfigEra its era.
 	ConfigRevision uint64
+	ConfigEra      uint64
 	Serving        bool
 	// Leaving is final: later calls with false have no effect.
 	Leaving     bool
--- a/anvilmember/detail.go
+++ b/anvilmember/detail.go
@@ -55,6 +55,7 @@
 		update.Member.Load = 0
 		update.Member.RequestRate = 0
 		update.Member.ConfigRevision = 0
+		update.Member.ConfigEra = 0
 		update.Member.TicketEpoch = 0
 		update.Member.CPUCapacity = 0
 		update.Version = 0
--- a/anvilmember/membership.go
+++ b/anvilmember/membership.go
@@ -175,6 +175,7 @@
 	member.Load = state.Load
 	member.RequestRate = state.RequestRate
 	member.ConfigRevision = state.ConfigRevision
+	member.ConfigEra = state.ConfigEra
 	member.Serving = state.Serving
 	member.TicketEpoch = state.TicketEpoch
 	m.cachedMembers = nil
--- a/anvilmember/merge.go
+++ b/anvilmember/merge.go
@@ -232,6 +232,7 @@
 		member.RequestRate = 0
 	}
 	member.ConfigRevision = update.Member.ConfigRevision
+	member.ConfigEra = update.Member.ConfigEra
 	member.TicketEpoch = update.Member.TicketEpoch
 	r.version = update.Version
 	r.updatedAt = m.elapsed
--- a/anvilmember/message.go
+++ b/anvilmember/message.go
@@ -5,10 +5,10 @@
 // MemberUpdate describes one member: the sender's own entry or gossip about another.
 //
 // Empty addresses, slot and failure domain are not included. If Version is 0, Serving,
-// Load, RequestRate, ConfigRevision and TicketEpoch are not included either.
+// Load, RequestRate, ConfigRevision, ConfigEra and TicketEpoch are not included either.
 type MemberUpdate struct {
 	Member anvilmodel.Member
-	// Version orders the values of Serving, Load, RequestRate, ConfigRevision and
+	// Version orders the values of Serving, Load, RequestRate, ConfigRevision, ConfigEra and
 	// TicketEpoch within an incarnation; a higher version is newer. It is the time since
 	// the start of the member's process in units of versionUnit, counted from 1.
 	Version uint32
--- a/anvilmember/size.go
+++ b/anvilmember/size.go
@@ -48,6 +48,9 @@
 	if member.RequestRate != 0 {
 		size += requestRateBytes
 	}
+	if member.ConfigEra != 0 {
+		size += longTagBytes + varintSize(member.ConfigEra)
+	}
 	size += uintSize(member.ConfigRevision) + uintSize(uint64(member.RefutationCount)) + uintSize(uint64(member.CPUCapacity))
 	for _, w := range update.Witnesses {
 		size += lengthDelimitedSize(len(w))
--- a/anvilmirror/mirror.go
+++ b/anvilmirror/mirror.go
@@ -1,10 +1,11 @@
 // Package anvilmirror keeps a node's copy of the items that the platform's store
 // publishes under one prefix. Nodes can replicate the copy from each other, because
-// every item carries the store's revision: the higher revision is the later one,
-// whichever node it comes from.
+// every item carries the store's revision: the later version is the one of the higher
+// era and, within an era, of the higher revision, whichever node it comes from.
 package anvilmirror
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"slices"
@@ -16,6 +17,19 @@
 // further behind gets a snapshot.
 const maxTombstones = 1024
 
+// Version is a point in the history of the store.
+type Version struct {
+	// Era is the number of times that the store has been restored from an older copy.
+	// Revisions of different eras cannot be compared.
+	Era      uint64
+	Revision uint64
+}
+
+// Compare returns -1, 0 or 1 if the version is before, equal to or after the other.
+func (v Version) Compare(other Version) int {
+	return cmp.Or(cmp.Compare(v.Era, other.Era), cmp.Compare(v.Revision, other.Revision))
+}
+
 // Item is a key of the store at a revision.
 type Item struct {
 	Key   string
@@ -28,8 +42,7 @@
 // Changes holds the changes after a revision, or a snapshot of all items.
 type Changes struct {
 	Items []Item
-	// Era is the number of times that the store has been restored from an older copy. A
-	// restored store gives revisions of the era before out again.
+	// Era is the era of all revisions of the changes.
 	Era uint64
 	// After is the revision that the changes follow; 0 for a snapshot.
 	After uint64
@@ -52,6 +65,8 @@
 type Mirror struct {
 	items  map[string]Item
 	loaded bool
+	// era is the era of all revisions of the mirror.
+	era uint64
 	// completeRevision is the revision up to which no change is missing.
 	completeRevision uint64
 	// diverged is set if the items differ from those of another node at the same
@@ -81,16 +96,27 @@
 	return m.loaded
 }
 
-// CompleteRevision returns the revision up to which no change is missing; changes
-// after it have to be requested. Changes of a watch do not raise it, because a watch
-// may have missed an earlier one.
-func (m *Mirror) CompleteRevision() uint64 {
-	return m.completeRevision
+// Era returns the era of the mirror's revisions.
+func (m *Mirror) Era() uint64 {
+	return m.era
 }
 
-// LatestRevision returns the highest revision of the changes received.
-func (m *Mirror) LatestRevision() uint64 {
-	return m.latestRevision
+// CompleteVersion returns the version up to which no change is missing; changes after it
+// have to be requested. Changes of a watch do not raise it, because a watch may have missed
+// an earlier one.
+func (m *Mirror) CompleteVersion() Version {
+	return Version{
+		Era:      m.era,
+		Revision: m.completeRevision,
+	}
+}
+
+// LatestVersion returns the version of the latest change received.
+func (m *Mirror) LatestVersion() Version {
+	return Version{
+		Era:      m.era,
+		Revision: m.latestRevision,
+	}
 }
 
 // Items returns all existing items in no particular order.
@@ -110,18 +136,27 @@
 	return item, ok && !item.Deleted
 }
 
-// MarkComplete records that no change up to a revision of the store is missing.
-func (m *Mirror) MarkComplete(revision uint64) {
-	if m.loaded {
-		m.completeRevision = max(m.completeRevision, revision)
+// MarkComplete records that no change up to a version of the store is missing.
+func (m *Mirror) MarkComplete(v Version) {
+	if m.loaded && m.era == v.Era {
+		m.completeRevision = max(m.completeRevision, v.Revision)
 	}
 }
 
 // Apply applies changes and returns those that were new to the mirror, deletions
-// that a snapshot implies first. Before the first snapshot, other changes are ignored.
+// that a snapshot implies first. Changes of an earlier era are ignored, and so are changes
+// that are not a snapshot before the first snapshot of an era.
 func (m *Mirror) Apply(c Changes) []Item {
-	if !m.loaded && !c.Snapshot {
+	switch {
+	case m.loaded && c.Era < m.era:
 		return nil
+	case m.loaded && c.Era == m.era:
+	case !c.Snapshot:
+		return nil
+	case m.loaded:
+		return m.replace(c)
+	default:
+		m.era = c.Era
 	}
 	var applied []Item
 	if c.Snapshot {
@@ -149,6 +184,40 @@
 	return applied
 }
 
+// replace replaces all items by a snapshot of a later era, and returns the items whose values
+// differ, deletions first.
+func (m *Mirror) replace(c Changes) []Item {
+	before := m.items
+	m.items = make(map[string]Item, len(c.Items))
+	m.era = c.Era
+	m.completeRevision = c.CompleteRevision
+	m.prunedRevision = c.CompleteRevision
+	m.latestRevision = 0
+	m.tombstones = nil
+	m.diverged = false
+	for _, item := range c.Items {
+		m.put(item)
+	}
+	var applied []Item
+	for key, old := range before {
+		if _, ok := m.items[key]; !ok && !old.Deleted {
+			applied = append(applied, Item{
+				Key:      key,
+				Revision: c.CompleteRevision,
+				Deleted:  true,
+			})
+		}
+	}
+	for _, item := range c.Items {
+		old, known := before[item.Key]
+		existed := known && !old.Deleted
+		if existed == item.Deleted || existed && !bytes.Equal(old.Value, item.Value) {
+			applied = append(applied, item)
+		}
+	}
+	return applied
+}
+
 // advance raises the complete revision to that of another node if both have the same
 // items at that revision. They differ if this mirror holds a key that was created and
 // deleted before the other node read the store, so that the other node never had it.
@@ -217,6 +286,8 @@
 // Cursor describes which changes a mirror has. A node sends it to request the changes
 // that it lacks.
 type Cursor struct {
+	// Era is the era of the mirror's revisions.
+	Era uint64
 	// CompleteRevision is the revision up to which the mirror lacks no change,
 	// LatestRevision that of its latest change.
 	CompleteRevision uint64
@@ -225,13 +296,16 @@
 	Digest uint64
 }
 
-// Cursor returns the cursor of the mirror. It is zero if the mirror has diverged from
+// Cursor returns the cursor of the mirror. Its revisions are 0 if the mirror has diverged from
 // another node and needs a snapshot.
 func (m *Mirror) Cursor() Cursor {
 	if m.diverged {
-		return Cursor{}
+		return Cursor{
+			Era: m.era,
+		}
 	}
 	c := Cursor{
+		Era:              m.era,
 		CompleteRevision: m.completeRevision,
 		LatestRevision:   max(m.latestRevision, m.completeRevision),
 	}
@@ -280,12 +354,21 @@
 
 // ChangesSince returns the changes that a node with the cursor lacks, ordered by
 // revision. The result is empty until the mirror is loaded. It is a snapshot if the
-// node has none or if deletions that it lacks have been dropped.
+// node has none of this era or if deletions that it lacks have been dropped. A node of a later
+// era gets nothing.
 func (m *Mirror) ChangesSince(cursor Cursor) Changes {
-	if !m.loaded {
-		return Changes{}
+	if !m.loaded || cursor.Era > m.era {
+		return Changes{
+			Era: m.era,
+		}
+	}
+	if cursor.Era < m.era {
+		cursor = Cursor{
+			Era: m.era,
+		}
 	}
 	c := Changes{
+		Era:              m.era,
 		After:            cursor.CompleteRevision,
 		CompleteRevision: m.completeRevision,
 		Snapshot:         cursor.CompleteRevision == 0 || cursor.CompleteRevision < m.prunedRevision,
--- a/anvilmodel/node.go
+++ b/anvilmodel/node.go
@@ -64,8 +64,11 @@
 	Load float64
 	// RequestRate is the number of requests per second that the node receives from callers.
 	RequestRate float64
-	// ConfigRevision is the store revision of the configuration that the node uses.
+	// ConfigRevision is the store revision of the configuration that the node uses, and
+	// ConfigEra the number of times that the store had been restored from an older copy by
+	// then.
 	ConfigRevision uint64
+	ConfigEra      uint64
 	// TicketEpoch is the current ticket epoch of the node.
 	TicketEpoch uint32
 	// CPUCapacity is the CPU share of the node in hundredths of a core; 0 if not stated.
--- a/anvilpeer/codec_test.go
+++ b/anvilpeer/codec_test.go
@@ -106,6 +106,7 @@
 			Load:            rapid.Float64Range(0, 2).Draw(t, "load"),
 			RequestRate:     float64(rapid.Float32Range(0, 1e6).Draw(t, "request rate")),
 			ConfigRevision:  rapid.Uint64().Draw(t, "revision"),
+			ConfigEra:       rapid.Uint64().Draw(t, "era"),
 			TicketEpoch:     rapid.Uint32().Draw(t, "epoch"),
 			RefutationCount: rapid.Uint32().Draw(t, "counter"),
 		},
--- a/anvilpeer/compress.go
+++ b/anvilpeer/compress.go
@@ -26,8 +26,8 @@
 }
 
 type compressedValue struct {
-	revision uint64
-	value    []byte
+	version anvilmirror.Version
+	value   []byte
 }
 
 func newCompressor() *compressor {
@@ -39,14 +39,18 @@
 	}
 }
 
-// compress returns the value of an item as it is sent, and whether it is compressed.
-func (c *compressor) compress(item anvilmirror.Item) ([]byte, bool) {
+// compress returns the value of an item of the era as it is sent, and whether it is compressed.
+func (c *compressor) compress(item anvilmirror.Item, era uint64) ([]byte, bool) {
 	if len(item.Value) < minCompressBytes {
 		return item.Value, false
 	}
+	version := anvilmirror.Version{
+		Era:      era,
+		Revision: item.Revision,
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cached, ok := c.cache[item.Key]; ok && cached.revision == item.Revision {
+	if cached, ok := c.cache[item.Key]; ok && cached.version == version {
 		return cached.value, true
 	}
 	encoder, err := c.encoder()
@@ -59,8 +63,8 @@
 	}
 	value := encoder.EncodeAll(item.Value, nil)
 	c.cache[item.Key] = compressedValue{
-		revision: item.Revision,
-		value:    value,
+		version: version,
+		value:   value,
 	}
 	return value, true
 }
--- a/anvilpeer/published_test.go
+++ b/anvilpeer/published_test.go
@@ -29,6 +29,7 @@
 	}
 	want := anvilpeer.PublishedReply{
 		Changes: anvilmirror.Changes{
+			Era:              2,
 			After:            3,
 			CompleteRevision: 9,
 			Digest:           17,
@@ -95,6 +96,9 @@
 	}}
 	p := (&testPeer{}).start(t, anvilpeer.Handlers{
 		Published: func(_ context.Context, request anvilpeer.PublishedRequest) anvilpeer.PublishedReply {
+			if diff := cmp.Diff(uint64(2), request.Era); diff != "" {
+				t.Errorf("era of the request (-want +got):\n%s", diff)
+			}
 			if diff := cmp.Diff(reads, request.StoreReads); diff != "" {
 				t.Errorf("reads of the request (-want +got):\n%s", diff)
 			}
@@ -118,6 +122,7 @@
 	defer func() { _ = client.Close() }()
 	for range 2 {
 		got, err := client.Published(t.Context(), p.address, anvilpeer.PublishedRequest{
+			Era:              2,
 			CompleteRevision: 3,
 			Announcements:    requested,
 			StoreReads:       reads,
@@ -165,3 +170,36 @@
 		t.Errorf("age %s, reads %v, want negative ages", got.Age, got.StoreReads)
 	}
 }
+
+// Guards against sending the configuration of an earlier era from the cache of compressed
+// values, because the store was restored and has given its revision out again.
+func TestCompressedValueBelongsToEra(t *testing.T) {
+	published := anvilpeer.PublishedReply{}
+	p := (&testPeer{}).start(t, anvilpeer.Handlers{
+		Published: func(context.Context, anvilpeer.PublishedRequest) anvilpeer.PublishedReply {
+			return published
+		},
+	})
+	client := anvilpeer.NewClient(anvilpeer.ClientConfig{
+		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address.String())
+		},
+	})
+	defer func() { _ = client.Close() }()
+	for era := range uint64(2) {
+		published.Era = era
+		published.Items = []anvilmirror.Item{{
+			Key:      "configuration/now",
+			Value:    bytes.Repeat([]byte{byte('a' + era)}, 4<<10),
+			Revision: 7,
+		}}
+		got, err := client.Published(t.Context(), p.address, anvilpeer.PublishedRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(published.Items, got.Items); diff != "" {
+			t.Errorf("items of era %d (-want +got):\n%s", era, diff)
+		}
+	}
+}
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -29,6 +29,8 @@
 // requesting node is missing.
 type PublishedRequest struct {
 	Prefix string
+	// Era is the era of the requesting node's revisions.
+	Era uint64
 	// CompleteRevision is the revision up to which the requesting node has every change.
 	CompleteRevision uint64
 	// LatestRevision is the revision of the last change that it has; it may lack earlier ones.
@@ -46,6 +48,7 @@
 func encodePublishedRequest(request PublishedRequest) *anvilproto.PublishedRequest {
 	return &anvilproto.PublishedRequest{
 		Prefix:     request.Prefix,
+		Era:        request.Era,
 		After:      request.CompleteRevision,
 		Latest:     request.LatestRevision,
 		Digest:     request.Digest,
@@ -59,6 +62,7 @@
 func decodePublishedRequest(request *anvilproto.PublishedRequest) PublishedRequest {
 	return PublishedRequest{
 		Prefix:           request.GetPrefix(),
+		Era:              request.GetEra(),
 		CompleteRevision: request.GetAfter(),
 		LatestRevision:   request.GetLatest(),
 		Digest:           request.GetDigest(),
@@ -73,6 +77,7 @@
 
 func encodePublishedReply(reply PublishedReply, c *compressor) *anvilproto.PublishedReply {
 	encoded := &anvilproto.PublishedReply{
+		Era:       reply.Era,
 		Revision:  reply.CompleteRevision,
 		Complete:  reply.Snapshot,
 		Items:     make([]*anvilproto.PublishedItem, 0, len(reply.Items)),
@@ -85,7 +90,7 @@
 		StoreReads:  encodeStoreReads(reply.StoreReads),
 	}
 	for _, item := range reply.Items {
-		value, compressed := c.compress(item)
+		value, compressed := c.compress(item, reply.Era)
 		encoded.Items = append(encoded.Items, &anvilproto.PublishedItem{
 			Key:        item.Key,
 			Value:      value,
@@ -101,6 +106,7 @@
 func decodePublishedReply(encoded *anvilproto.PublishedReply, d *decompressor) (PublishedReply, error) {
 	reply := PublishedReply{
 		Changes: anvilmirror.Changes{
+			Era:              encoded.GetEra(),
 			CompleteRevision: encoded.GetRevision(),
 			Snapshot:         encoded.GetComplete(),
 			Digest:           encoded.GetDigest(),
