Keep later entries of leaves after a restore of the store

After a restore the store lists leaves as they were when its copy was made: callers' requests went to leaves that had reported draining, or had left, until these reported again or their entries lapsed (three report intervals).

The store's revisions cannot tell the two apart, because lost ones are given out again; the start and the number of a leaf's report can.

--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -48,6 +48,8 @@
 	// StartedAt is the start time of the leaf's process. An entry with the same name and a
 	// later time describes a new process with no state of the earlier one.
 	StartedAt time.Time
+	// ReportNumber orders the reports of a process.
+	ReportNumber int64
 	// Slots is the number of requests that the leaf runs concurrently.
 	Slots int
 	// Draining is set if the leaf accepts no new requests.
@@ -96,7 +98,9 @@
 	departures map[anvilmodel.LeafName]departure
 	// removed holds the states of leaves without an entry.
 	removed map[anvilmodel.LeafName]removedLeaf
-	pauses  pauseModel
+	// removedEntries holds the entries that were removed from the store.
+	removedEntries map[anvilmodel.LeafName]removedEntry
+	pauses         pauseModel
 }
 
 type serviceState struct {
@@ -132,6 +136,7 @@
 		excludedDomains: make(map[anvilmodel.FailureDomain]bool),
 		departures:      make(map[anvilmodel.LeafName]departure),
 		removed:         make(map[anvilmodel.LeafName]removedLeaf),
+		removedEntries:  make(map[anvilmodel.LeafName]removedEntry),
 	}
 }
 
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -107,6 +107,7 @@
 		s := b.service(l.Service)
 		s.leaves = append(s.leaves, state)
 	}
+	delete(b.removedEntries, l.Name)
 	state.leaf = l
 	state.leaving = b.hasDeparted(l)
 	state.graceEnd = time.Time{}
@@ -128,6 +129,7 @@
 func (b *Balancer) deleteLeaf(l *leafState, now time.Time) {
 	delete(b.leaves, l.leaf.Name)
 	b.keepRemoved(l, now)
+	b.keepEntry(l.leaf, now)
 	s := b.service(l.leaf.Service)
 	s.leaves = slices.DeleteFunc(s.leaves, func(other *leafState) bool { return other == l })
 }
--- a/anvilgateway/apply.go
+++ b/anvilgateway/apply.go
@@ -101,7 +101,14 @@
 				Uint64("revision", i.Revision).Err(err).Send()
 			continue
 		}
-		g.balancer.SetLeaf(l, now)
+		if b.Restored && !g.balancer.RestoreLeaf(l, now) {
+			g.config.Log.Info().Str("event", "leaf-entry-outdated").Str("leaf", string(l.Name)).
+				Int64("report", l.ReportNumber).Uint64("revision", i.Revision).Send()
+			continue
+		}
+		if !b.Restored {
+			g.balancer.SetLeaf(l, now)
+		}
 		g.config.Log.Info().Str("event", "leaf-entry").Str("leaf", string(l.Name)).Str("service", string(l.Service)).
 			Stringer("address", l.Address).Bool("draining", l.Draining).Dur("cold-for-ms", l.ColdFor).
 			Uint64("revision", i.Revision).Send()
--- a/anvilgateway/fixture_test.go
+++ b/anvilgateway/fixture_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -106,6 +108,7 @@
 // fakeStore is an in-memory implementation of the platform's store.
 type fakeStore struct {
 	mu       sync.Mutex
+	era      uint64
 	revision uint64
 	items    map[string]anvilmirror.Item
 	changed  chan struct{}
@@ -113,7 +116,8 @@
 	// silenceWatches makes watches report no changes.
 	silenceWatches atomic.Bool
 	configuration  atomic.Pointer[anvilroute.Configuration]
-	leaves         sync.Map
+	// leaves holds the entries by the values that stand for them.
+	leaves sync.Map
 }
 
 func newStore() *fakeStore {
@@ -124,27 +128,46 @@
 	}
 }
 
-func (s *fakeStore) put(key string) {
+// put writes a key. It passes the value, which is unique, to a function before.
+func (s *fakeStore) put(key string, prepare func(value string)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
+	value := fmt.Sprintf("%s at %d in era %d", key, s.revision, s.era)
+	prepare(value)
 	s.items[key] = anvilmirror.Item{
 		Key:      key,
-		Value:    []byte(key),
+		Value:    []byte(value),
 		Revision: s.revision,
 	}
+	s.wakeWatches()
+}
+
+func (s *fakeStore) wakeWatches() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// backup returns a copy of the store. restore restores the store from it.
+func (s *fakeStore) backup() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision, items := s.revision, maps.Clone(s.items)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.era++
+		s.revision, s.items = revision, maps.Clone(items)
+		s.wakeWatches()
+	}
+}
+
 func (s *fakeStore) configure(c anvilroute.Configuration) {
-	s.configuration.Store(&c)
-	s.put("config/now")
+	s.put("config/now", func(string) { s.configuration.Store(&c) })
 }
 
 func (s *fakeStore) register(l anvilbalance.Leaf) {
-	s.leaves.Store("leafs/"+string(l.Name), l)
-	s.put("leafs/" + string(l.Name))
+	s.put("leafs/"+string(l.Name), func(value string) { s.leaves.Store(value, l) })
 }
 
 // unregister removes the entry of a leaf.
@@ -158,14 +181,14 @@
 		Revision: s.revision,
 		Deleted:  true,
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wakeWatches()
 }
 
 func (s *fakeStore) read(prefix string, after uint64) (anvilmirror.Changes, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := anvilmirror.Changes{
+		Era:              s.era,
 		CompleteRevision: s.revision,
 		Snapshot:         after == 0,
 	}
@@ -200,6 +223,7 @@
 				c, changed := s.read(prefix, after)
 				if len(c.Items) > 0 && !s.silenceWatches.Load() {
 					return anvilmirror.Changes{
+						Era:           c.Era,
 						Items:         c.Items,
 						WatchRevision: c.CompleteRevision,
 					}, nil
@@ -207,7 +231,10 @@
 				select {
 				case <-changed:
 				case <-ctx.Done():
-					return anvilmirror.Changes{WatchRevision: after}, nil
+					return anvilmirror.Changes{
+						Era:           c.Era,
+						WatchRevision: after,
+					}, nil
 				}
 			}
 		},
@@ -225,8 +252,8 @@
 		DecodeConfiguration: func([]byte) (anvilroute.Configuration, error) {
 			return *s.configuration.Load(), nil
 		},
-		DecodeLeaf: func(key string, _ []byte) (anvilbalance.Leaf, error) {
-			l, ok := s.leaves.Load(key)
+		DecodeLeaf: func(_ string, value []byte) (anvilbalance.Leaf, error) {
+			l, ok := s.leaves.Load(string(value))
 			if !ok {
 				return anvilbalance.Leaf{}, errors.New("no such leaf")
 			}
