Keep failure domains out of service after a restore of the store

After a restore the store may not list a failure domain that operators had taken out of service within the time that its copy lacks: callers' requests would go to the leaves of that domain, which may be cold or about to end, until the operator writes it again.

One that the operator returns in the new era is in use at once.

Evidence: TestExcludedDomainOutlastsRestore fails if the grace period is left out.

--- a/anvilbalance/balance.go
+++ b/anvilbalance/balance.go
@@ -88,12 +88,14 @@
 	nodeCount int
 	// share is the part of the rate limits of leaves that this node may use, and phase the
 	// position of this node among the nodes that share them, from 0 to 1.
-	share           float64
-	phase           float64
-	leaves          map[anvilmodel.LeafName]*leafState
-	services        map[anvilmodel.ServiceName]*serviceState
-	routeLatencies  map[anvilroute.Name]*latencyHistogram
-	excludedDomains map[anvilmodel.FailureDomain]bool
+	share          float64
+	phase          float64
+	leaves         map[anvilmodel.LeafName]*leafState
+	services       map[anvilmodel.ServiceName]*serviceState
+	routeLatencies map[anvilroute.Name]*latencyHistogram
+	// excludedDomains holds the failure domains whose leaves get no new calls, and until when;
+	// zero as long as they are listed.
+	excludedDomains map[anvilmodel.FailureDomain]time.Time
 	// departures are the announced shutdowns of leaves.
 	departures map[anvilmodel.LeafName]departure
 	// removed holds the states of leaves without an entry.
@@ -133,7 +135,7 @@
 		leaves:          make(map[anvilmodel.LeafName]*leafState),
 		services:        make(map[anvilmodel.ServiceName]*serviceState),
 		routeLatencies:  make(map[anvilroute.Name]*latencyHistogram),
-		excludedDomains: make(map[anvilmodel.FailureDomain]bool),
+		excludedDomains: make(map[anvilmodel.FailureDomain]time.Time),
 		departures:      make(map[anvilmodel.LeafName]departure),
 		removed:         make(map[anvilmodel.LeafName]removedLeaf),
 		removedEntries:  make(map[anvilmodel.LeafName]removedEntry),
@@ -165,14 +167,28 @@
 	}
 }
 
-// SetExcludedDomains sets the failure domains whose leaves get no new calls.
-func (b *Balancer) SetExcludedDomains(domains []anvilmodel.FailureDomain) {
-	clear(b.excludedDomains)
+// SetExcludedDomains sets the failure domains whose leaves get no new calls. Those that are no
+// longer in the list stay excluded for the grace period.
+func (b *Balancer) SetExcludedDomains(domains []anvilmodel.FailureDomain, grace time.Duration, now time.Time) {
+	for d, until := range b.excludedDomains {
+		switch ended := !until.IsZero() && !now.Before(until); {
+		case ended, until.IsZero() && grace <= 0:
+			delete(b.excludedDomains, d)
+		case grace > 0:
+			b.excludedDomains[d] = now.Add(grace)
+		}
+	}
 	for _, d := range domains {
-		b.excludedDomains[d] = true
+		b.excludedDomains[d] = time.Time{}
 	}
 }
 
+// isExcluded reports whether the leaves of a failure domain get no new calls.
+func (b *Balancer) isExcluded(d anvilmodel.FailureDomain, now time.Time) bool {
+	until, ok := b.excludedDomains[d]
+	return ok && (until.IsZero() || now.Before(until))
+}
+
 // RandomFloat64 returns a random number in the range [0, 1).
 func (b *Balancer) RandomFloat64() float64 {
 	return b.config.Random.Float64()
--- a/anvilbalance/balance_test.go
+++ b/anvilbalance/balance_test.go
@@ -171,7 +171,7 @@
 	excluded := testLeaf(1)
 	excluded.FailureDomain = "east"
 	b.SetLeaf(excluded, start)
-	b.SetExcludedDomains([]anvilmodel.FailureDomain{"east"})
+	b.SetExcludedDomains([]anvilmodel.FailureDomain{"east"}, 0, start)
 	b.RemoveLeaf("c", start, 0)
 	for range 10 {
 		l, status := pick(b, anvilbalance.CallFirst, start, "d")
--- a/anvilbalance/leaf.go
+++ b/anvilbalance/leaf.go
@@ -157,7 +157,7 @@
 }
 
 func (l *leafState) usable(b *Balancer, now time.Time) bool {
-	return !l.leaf.Draining && !l.leaving && !b.excludedDomains[l.leaf.FailureDomain] && (l.graceEnd.IsZero() || now.Before(l.graceEnd))
+	return !l.leaf.Draining && !l.leaving && !b.isExcluded(l.leaf.FailureDomain, now) && (l.graceEnd.IsZero() || now.Before(l.graceEnd))
 }
 
 // ServiceAvailable reports whether the service has a leaf that can be called, possibly
--- a/anvilbalance/restored_test.go
+++ b/anvilbalance/restored_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"anvilbridge/anvilbalance"
+	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilroute"
 )
 
@@ -76,3 +77,35 @@
 		t.Error("the leaf is not used although it has reported again")
 	}
 }
+
+// Guards against calls to a failure domain that is out of service, because the restored store
+// does not list it until the operator writes it again, and against one that stays out although
+// the operator has returned it.
+func TestExcludedDomainOutlastsRestore(t *testing.T) {
+	const grace = 5 * time.Second
+	b := newBalancer(anvilbalance.Config{}, anvilroute.Service{}, 0)
+	l := testLeaf(0)
+	l.FailureDomain = "east"
+	b.SetLeaf(l, start)
+	east := []anvilmodel.FailureDomain{"east"}
+	b.SetExcludedDomains(east, 0, start)
+	restored := start.Add(time.Second)
+	b.SetExcludedDomains(nil, grace, restored)
+	b.SetExcludedDomains([]anvilmodel.FailureDomain{"west"}, 0, restored.Add(time.Second))
+	if b.ServiceAvailable("s", restored.Add(grace-time.Millisecond)) {
+		t.Error("the domain is used within the grace period of a restore")
+	}
+	if !b.ServiceAvailable("s", restored.Add(grace)) {
+		t.Error("the domain is out of service after the grace period")
+	}
+	again := restored.Add(2 * time.Second)
+	b.SetExcludedDomains(nil, grace, again)
+	if b.ServiceAvailable("s", again.Add(grace-time.Millisecond)) {
+		t.Error("the domain is used within the grace period of a second restore")
+	}
+	b.SetExcludedDomains(east, 0, again)
+	b.SetExcludedDomains(nil, 0, again)
+	if !b.ServiceAvailable("s", again) {
+		t.Error("the domain is out of service although the operator has returned it")
+	}
+}
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -199,10 +199,7 @@
 	if f.mirror.Loaded() {
 		f.config.Roles.recordLoaded(now)
 	}
-	if restored {
-		f.wakeWaiters()
-	}
-	if len(applied) == 0 {
+	if len(applied) == 0 && !restored {
 		return false
 	}
 	f.config.Apply(Batch{
--- a/anvilgateway/apply.go
+++ b/anvilgateway/apply.go
@@ -24,8 +24,8 @@
 		case ItemOther, ItemLeaf:
 		}
 	}
-	if domainsChanged {
-		g.applyDomainsOutOfService(b.Mirror)
+	if domainsChanged || b.Restored {
+		g.applyDomainsOutOfService(b)
 	}
 }
 
@@ -58,19 +58,28 @@
 		Uint64("version", c.Version).Int("routes", len(c.Routes)).Int("services", len(c.Services)).Send()
 }
 
+// restoredDomainGrace is how long a failure domain stays out of service that a restored store
+// does not list. Operators write what was lost again, and need a domain out of service within
+// 5 s of its acknowledgement.
+const restoredDomainGrace = 5 * time.Second
+
 // applyDomainsOutOfService passes the set of failure domains that are out of service to
 // the balancer.
-func (g *Gateway) applyDomainsOutOfService(m *anvilmirror.Mirror) {
+func (g *Gateway) applyDomainsOutOfService(b anvilfollower.Batch) {
+	grace := time.Duration(0)
+	if b.Restored {
+		grace = restoredDomainGrace
+	}
 	var out []anvilmodel.FailureDomain
-	for _, i := range m.Items() {
+	for _, i := range b.Mirror.Items() {
 		if k := g.config.Store.DecodeKey(i.Key); k.Kind == ItemDomainOutOfService {
 			out = append(out, k.Domain)
 		}
 	}
 	g.balancerMu.Lock()
-	g.balancer.SetExcludedDomains(out)
+	g.balancer.SetExcludedDomains(out, grace, time.Now())
 	g.balancerMu.Unlock()
-	g.config.Log.Info().Str("event", "failure-domains-out").Interface("domains", out).Send()
+	g.config.Log.Info().Str("event", "failure-domains-out").Interface("domains", out).Dur("grace-ms", grace).Send()
 }
 
 // applyLeaves applies changes of leaf entries. An entry that cannot be decoded is treated
