Log crashes of leaves with the fingerprint of the request

When leaves end one after the other, the logs could not tell a request that crashes them from leaves that end under load: a lost connection does not show whether the process has ended, and attempts with the same target have nothing in common.

A call whose connection ends without a reply is followed by one connection to the leaf. If the address refuses it, the log line leaf-crashed names the leaf, the request and its fingerprint, a hash of method, host, target, credentials and body. Nothing decides by it yet.

--- a/anvilgateway/accept.go
+++ b/anvilgateway/accept.go
@@ -79,6 +79,8 @@
 	if metadata.Timeout > 0 && (metadata.Timeout < s.timeout || s.timeout <= 0) {
 		s.timeout = metadata.Timeout
 	}
+	s.method, s.host, s.target = r.Method, r.Host, target
+	s.authorization = r.Header.Get("Authorization")
 	s.outbound = g.newOutboundRequest(r, target, s.id, body)
 	s.outbound.nonIdempotent = s.route.NonIdempotent
 	s.outbound.deadline = s.arrivedAt.Add(s.timeout)
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"anvilbridge/anvilbalance"
@@ -113,10 +114,18 @@
 	writer    http.ResponseWriter
 	arrivedAt time.Time
 	id        string
-	route     *anvilroute.Route
-	version   uint64
-	outbound  *outboundRequest
-	timeout   time.Duration
+	// method, host, target, authorization and the body identify what the caller asks for.
+	// fingerprintValue is computed when it is first needed.
+	method           string
+	host             string
+	target           string
+	authorization    string
+	fingerprintOnce  sync.Once
+	fingerprintValue anvilmodel.Fingerprint
+	route            *anvilroute.Route
+	version          uint64
+	outbound         *outboundRequest
+	timeout          time.Duration
 	// callerTimeout is the remaining time that the caller states. elapsedBefore and
 	// transit are estimated from it: the time that had passed at the caller when the
 	// request arrived, and the network time of request and answer.
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -77,4 +77,7 @@
 		partIndex: c.partIndex,
 		result:    r,
 	}
+	if r.outcome == anvilbalance.OutcomeLost && connectionEnded(r.err) {
+		c.checkCrash()
+	}
 }
