Quarantine requests that crash the leaves that run them

Cause: nothing connected the attempts of a request. Each call whose connection ended was a failure of its leaf, so that the hedges, the retries, the caller's next attempt and every other node sent the request on to the leaves that were left.

Change: the new core anvilquarantine counts the processes that crash under a request, by the hash of method, host, target, credentials and body. With three, and no answer of any leaf, the request is suspected: no hedges and retries any more, and the next attempt goes to a single leaf first. An answer clears the request; a crash quarantines it, and it is refused as not run for 5 min, until the next trial. An innocent request whose calls were at the same leaves is answered in its trial.

TestCrashesReachAllNodes: within 4 s with 4 to 410 nodes, restarts included.

--- a/anvilfollower/config.go
+++ b/anvilfollower/config.go
@@ -100,10 +100,11 @@
 	Roles *Roles
 	// Apply applies changes. It is not called concurrently.
 	Apply func(Batch)
-	// Announcements returns the announcements of leaves to pass on to other nodes.
-	// MergeAnnouncements records those that another node passed on, and reports whether a
-	// departure is new. Both are nil for a prefix without leaves.
-	Announcements      func() anvilmodel.LeafAnnouncements
+	// Announcements returns the announcements of leaves to pass on to another node, given the
+	// digest that it has stated. MergeAnnouncements records those that another node passed on,
+	// and reports whether any has to be passed on at once. Both are nil for a prefix without
+	// leaves.
+	Announcements      func(crashDigest uint64) anvilmodel.LeafAnnouncements
 	MergeAnnouncements func(anvilmodel.LeafAnnouncements) bool
 	// CountRead counts a read of the store or of another node.
 	CountRead func(kind string, ok bool)
--- a/anvilfollower/follower.go
+++ b/anvilfollower/follower.go
@@ -27,6 +27,11 @@
 	// changed is closed and replaced to wake the polls of other nodes that wait for a
 	// change.
 	changed chan struct{}
+	// pollAgain is closed and replaced to end the poll that waits at another node, because this
+	// node has something to pass on.
+	pollAgain chan struct{}
+	// peerCrashDigest is the digest that another node stated in the last reply.
+	peerCrashDigest uint64
 	// storeEra is the era of the store at the last read, and storeEraKnown is set once there
 	// was one.
 	storeEra      uint64
@@ -53,6 +58,7 @@
 		config:      c,
 		mirror:      anvilmirror.New(),
 		changed:     make(chan struct{}),
+		pollAgain:   make(chan struct{}),
 		loadNow:     make(chan struct{}),
 		outageSince: time.Now(),
 		random:      c.Random,
@@ -125,7 +131,7 @@
 		changed := f.changed
 		f.mu.Unlock()
 		if ready || ctx.Err() != nil {
-			reply.Announcements = f.announcements()
+			reply.Announcements = f.announcements(request.Announcements.CrashDigest)
 			reply.StoreReads = f.config.Roles.readsForReply(time.Now())
 			return reply
 		}
@@ -144,12 +150,14 @@
 	}
 }
 
-// NotifyPeers makes the waiting polls of other nodes return. It has to be called when a new
-// departure has been recorded.
+// NotifyPeers makes the waiting polls of other nodes return, and this node poll again. It has
+// to be called when an announcement has been recorded that has to be passed on at once.
 func (f *Follower) NotifyPeers() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.wakeWaiters()
+	close(f.pollAgain)
+	f.pollAgain = make(chan struct{})
 }
 
 // wakeWaiters makes the waiting polls of other nodes return. The caller must hold mu.
@@ -158,16 +166,17 @@
 	f.changed = make(chan struct{})
 }
 
-// announcements returns the announcements of leaves to pass on to other nodes.
-func (f *Follower) announcements() anvilmodel.LeafAnnouncements {
+// announcements returns the announcements of leaves to pass on to another node that has stated
+// the digest.
+func (f *Follower) announcements(crashDigest uint64) anvilmodel.LeafAnnouncements {
 	if f.config.Announcements == nil {
 		return anvilmodel.LeafAnnouncements{}
 	}
-	return f.config.Announcements()
+	return f.config.Announcements(crashDigest)
 }
 
 // mergeAnnouncements records the announcements that another node passed on, and notifies
-// the waiting peers if a departure is new.
+// the waiting peers if any has to be passed on at once.
 func (f *Follower) mergeAnnouncements(announcements anvilmodel.LeafAnnouncements) {
 	if f.config.MergeAnnouncements != nil && f.config.MergeAnnouncements(announcements) {
 		f.NotifyPeers()
--- a/anvilfollower/peers.go
+++ b/anvilfollower/peers.go
@@ -87,13 +87,15 @@
 		Wait:             wait,
 	}
 	awaitingStore := !f.mirror.Loaded() && !f.readFailed
+	crashDigest := f.peerCrashDigest
+	pollAgain := f.pollAgain
 	f.mu.Unlock()
-	request.Announcements = f.announcements()
+	request.Announcements = f.announcements(crashDigest)
 	request.StoreReads = f.config.Roles.readsForPoll(current, time.Now())
 	pollCtx, cancel := context.WithTimeout(ctx, wait+peerPollMargin)
 	defer cancel()
 	if wait > 0 {
-		go cancelOnChange(pollCtx, current.changed, cancel)
+		go cancelOnChange(pollCtx, current.changed, pollAgain, cancel)
 	}
 	reply, err := f.config.FetchChanges(pollCtx, m.PeerAddress, request)
 	f.config.CountRead("peer", err == nil)
@@ -109,6 +111,9 @@
 		f.config.Roles.markPassedOn(current.changed)
 	}
 	f.config.Roles.merge(reply.StoreReads, time.Now())
+	f.mu.Lock()
+	f.peerCrashDigest = reply.Announcements.CrashDigest
+	f.mu.Unlock()
 	f.mergeAnnouncements(reply.Announcements)
 	if awaitingStore && (reply.Age < 0 || reply.Age >= maxAge) {
 		// The store is about to answer, and a stale copy may list leaves that have left.
@@ -123,11 +128,14 @@
 	return reply.Age, nil
 }
 
-// cancelOnChange calls cancel when the readers change before ctx ends.
-func cancelOnChange(ctx context.Context, changed <-chan struct{}, cancel context.CancelFunc) {
+// cancelOnChange calls cancel when the readers change, or this node has to poll again, before
+// ctx ends.
+func cancelOnChange(ctx context.Context, changed, pollAgain <-chan struct{}, cancel context.CancelFunc) {
 	select {
 	case <-changed:
 		cancel()
+	case <-pollAgain:
+		cancel()
 	case <-ctx.Done():
 	}
 }
--- a/anvilfollower/schedule_test.go
+++ b/anvilfollower/schedule_test.go
@@ -13,6 +13,7 @@
 
 	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilquarantine"
 )
 
 const (
@@ -391,8 +392,73 @@
 func (f *fleet) checkDepartureKnown(t *testing.T, after time.Duration) {
 	t.Helper()
 	for _, n := range f.nodes {
-		if len(n.announcements().Departures) == 0 {
+		if len(n.announcements(0).Departures) == 0 {
 			t.Errorf("seed %d, %d nodes: %s does not know after %s that the leaf is leaving", seed, len(f.nodes), n.name, after)
 		}
 	}
 }
+
+// Guards against nodes that send a request to leaves again which has crashed leaves under
+// attempts at other nodes. Each of the first crashes is seen by another node, and a node that
+// restarts later has to learn of the quarantine as well. The store is unreachable meanwhile.
+func TestCrashesReachAllNodes(t *testing.T) {
+	const (
+		// limit is the time after the third crash from which nodes may send the request to
+		// leaves three times in all.
+		limit = 4 * time.Second
+		// nodesOfCrashes is the number of nodes that see a crash each.
+		nodesOfCrashes = 3
+	)
+	for _, nodes := range []int{4, 30, 117, 410} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			random := rand.New(rand.NewPCG(seed, uint64(nodes)))
+			store := newStore(seed)
+			store.write(configurationKey, false)
+			f := newFleet(ctx, store, nodes, random)
+			time.Sleep(2 * applyLimit)
+			for _, n := range f.nodes {
+				store.setFault(n.name, faultHanging)
+			}
+			time.Sleep(time.Second)
+			request := anvilmodel.Fingerprint{1, 2, 3}
+			for _, i := range random.Perm(nodes)[:nodesOfCrashes] {
+				f.nodes[i].recordCrash(request, fmt.Sprint("leaf-", i), false)
+			}
+			time.Sleep(limit)
+			f.checkStatus(t, request, anvilquarantine.StatusSuspected, limit)
+			f.nodes[random.IntN(nodes)].recordCrash(request, "leaf-of-trial", true)
+			time.Sleep(limit)
+			f.checkStatus(t, request, anvilquarantine.StatusQuarantined, limit)
+			time.Sleep(time.Minute)
+			f.restart(random.IntN(nodes))
+			time.Sleep(limit)
+			f.checkStatus(t, request, anvilquarantine.StatusQuarantined, limit)
+			cancel()
+			f.tasks.Wait()
+		})
+	}
+}
+
+// recordCrash records that a leaf has crashed under a request, and passes it on if that
+// restricts the request.
+func (n *node) recordCrash(request anvilmodel.Fingerprint, leaf string, inTrial bool) {
+	nodesMu.Lock()
+	_, changed := n.requests.RecordCrash(request, anvilmodel.LeafName(leaf), time.Time{}, inTrial, time.Now())
+	nodesMu.Unlock()
+	if changed {
+		n.set.Leaves.NotifyPeers()
+	}
+}
+
+// checkStatus checks the status of a request at all nodes.
+func (f *fleet) checkStatus(t *testing.T, request anvilmodel.Fingerprint, want anvilquarantine.Status, after time.Duration) {
+	t.Helper()
+	nodesMu.Lock()
+	defer nodesMu.Unlock()
+	for _, n := range f.nodes {
+		if got, _ := n.requests.Status(request, time.Now()); got != want {
+			t.Errorf("seed %d, %d nodes: the request is %s at %s after %s, want %s", seed, len(f.nodes), got, n.name, after, want)
+		}
+	}
+}
--- a/anvilfollower/simulation_test.go
+++ b/anvilfollower/simulation_test.go
@@ -19,6 +19,7 @@
 	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
+	"anvilbridge/anvilquarantine"
 )
 
 // seed is the seed of the tests that run a single schedule.
@@ -343,6 +344,8 @@
 	removalsWithoutGrace int
 	// departing holds the leaves whose departure the node has recorded.
 	departing map[anvilmodel.LeafName]bool
+	// requests holds the requests under which leaves have crashed.
+	requests *anvilquarantine.Registry
 }
 
 func newFleet(ctx context.Context, s *store, size int, random *rand.Rand) *fleet {
@@ -376,6 +379,7 @@
 		versions:  make(map[string]anvilmirror.Version),
 		contents:  make(map[string]string),
 		departing: make(map[anvilmodel.LeafName]bool),
+		requests:  anvilquarantine.New(),
 	}
 	roles := anvilfollower.NewRoles(anvilfollower.RolesConfig{
 		Members: func() []anvilmodel.Member { return f.membersSeenBy(index) },
@@ -461,10 +465,14 @@
 // nodesMu guards what the nodes record.
 var nodesMu sync.Mutex
 
-func (n *node) announcements() anvilmodel.LeafAnnouncements {
+func (n *node) announcements(crashDigest uint64) anvilmodel.LeafAnnouncements {
 	nodesMu.Lock()
 	defer nodesMu.Unlock()
-	var announced anvilmodel.LeafAnnouncements
+	now := time.Now()
+	announced := anvilmodel.LeafAnnouncements{
+		CrashReports: n.requests.Reports(crashDigest, now),
+		CrashDigest:  n.requests.Digest(now),
+	}
 	for leaf := range n.departing {
 		announced.Departures = append(announced.Departures, anvilmodel.Departure{
 			Leaf: leaf,
@@ -480,7 +488,8 @@
 	for _, d := range announced.Departures {
 		n.departing[d.Leaf] = true
 	}
-	return len(n.departing) > before
+	restricted := n.requests.Merge(announced.CrashReports, time.Now())
+	return len(n.departing) > before || len(restricted) > 0
 }
 
 // fetchChanges polls a node over the simulated network.
--- a/anvilgateway/accept.go
+++ b/anvilgateway/accept.go
@@ -87,7 +87,7 @@
 	if !s.canFinish(time.Now()) {
 		return newRefusal(http.StatusServiceUnavailable, "leaving", retryAfterShutdown)
 	}
-	return nil
+	return s.checkQuarantine()
 }
 
 // requestTarget returns the path and query exactly as the caller sent them.
@@ -167,6 +167,9 @@
 	if s.limiter != nil {
 		line.Float64("limit", s.limit).Dur("elapsed-before-ms", s.elapsedBefore)
 	}
+	if s.underSuspicion.Load() {
+		line.Stringer("fingerprint", s.fingerprint())
+	}
 	line.Send()
 }
 
--- a/anvilgateway/crash.go
+++ b/anvilgateway/crash.go
@@ -55,5 +55,7 @@
 	}
 	s.gateway.config.Log.Warn().Str("event", "leaf-crashed").Str("leaf", string(c.leaf.Name)).
 		Str("service", string(c.leaf.Service)).Str("request", s.id).
-		Stringer("fingerprint", s.fingerprint()).Str("kind", c.kind.String()).Send()
+		Stringer("fingerprint", s.fingerprint()).Str("kind", c.kind.String()).
+		Bool("trial", s.inTrial).Bool("answered", s.answered.Load()).Send()
+	s.recordCrash(c.leaf)
 }
--- a/anvilgateway/front.go
+++ b/anvilgateway/front.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"anvilbridge/anvilbalance"
@@ -122,10 +123,16 @@
 	authorization    string
 	fingerprintOnce  sync.Once
 	fingerprintValue anvilmodel.Fingerprint
-	route            *anvilroute.Route
-	version          uint64
-	outbound         *outboundRequest
-	timeout          time.Duration
+	// inTrial is set if the request goes to a single leaf first, because leaves have crashed
+	// under it. underSuspicion is set once it has an entry in the quarantine, and answered once
+	// a leaf has answered it.
+	inTrial        bool
+	underSuspicion atomic.Bool
+	answered       atomic.Bool
+	route          *anvilroute.Route
+	version        uint64
+	outbound       *outboundRequest
+	timeout        time.Duration
 	// callerTimeout is the remaining time that the caller states. elapsedBefore and
 	// transit are estimated from it: the time that had passed at the caller when the
 	// request arrived, and the network time of request and answer.
@@ -175,6 +182,7 @@
 		Timeout:    s.timeout,
 		HedgeDelay: s.hedgeDelay,
 		Overloaded: s.overloaded,
+		Trial:      s.inTrial,
 		Available: func(name anvilmodel.ServiceName, now time.Time) bool {
 			g.balancerMu.Lock()
 			defer g.balancerMu.Unlock()
@@ -189,6 +197,9 @@
 			if s.route.NonIdempotent && !s.canFinish(now) {
 				return anvilbalance.Leaf{}, anvilbalance.PickNoLeaf
 			}
+			if c.Kind != anvilbalance.CallFirst && !s.inTrial && s.isSuspected(now) {
+				return anvilbalance.Leaf{}, anvilbalance.PickNoLeaf
+			}
 			g.balancerMu.Lock()
 			defer g.balancerMu.Unlock()
 			s.pickedAt = now
--- a/anvilgateway/gateway.go
+++ b/anvilgateway/gateway.go
@@ -59,7 +59,8 @@
 	table atomic.Pointer[anvilroute.Table]
 
 	// The locks are taken in the order membersMu, the lock of a follower, balancerMu,
-	// poolsMu. No lock is acquired while a later one is held.
+	// poolsMu. No lock is acquired while a later one is held, and none while the lock of
+	// quarantine is held.
 
 	// balancerMu guards balancer, splitter, elapsedEstimator, limiters, fleetSize, demand,
 	// share and inSubset.
@@ -91,6 +92,7 @@
 
 	followers  *anvilfollower.Set
 	bodyBudget memoryBudget
+	quarantine *quarantine
 
 	inFlight    atomic.Int64
 	lastRequest atomic.Int64
@@ -137,6 +139,7 @@
 		subsetSize:       minSubsetSize,
 	}
 	g.bodyBudget.limit = c.MaxBodyMemory
+	g.quarantine = newQuarantine(c.Log)
 	c.Balance.FailureDomain = c.FailureDomain
 	c.Balance.Random = rand.New(rand.NewPCG(c.Seed, 2))
 	g.balancer = anvilbalance.New(c.Balance)
--- a/anvilgateway/leafcall.go
+++ b/anvilgateway/leafcall.go
@@ -71,6 +71,9 @@
 			Str("outcome", r.outcome.String()).Int("status", r.status).Dur("elapsed-ms", elapsed).
 			Dur("retry-after-ms", r.reply.RetryAfter).Err(r.err).Send()
 	}
+	if r.outcome == anvilbalance.OutcomeGood {
+		s.recordAnswer()
+	}
 	s.memory.add(r.reservedBytes)
 	s.completed <- completedCall{
 		callIndex: c.callIndex,
--- a/anvilgateway/notice.go
+++ b/anvilgateway/notice.go
@@ -106,19 +106,23 @@
 	}
 }
 
-// announcements returns the announcements of leaves to pass on to other nodes.
-func (g *Gateway) announcements() anvilmodel.LeafAnnouncements {
+// announcements returns the announcements of leaves to pass on to another node that has stated
+// the digest.
+func (g *Gateway) announcements(crashDigest uint64) anvilmodel.LeafAnnouncements {
+	now := time.Now()
+	reports, ownDigest := g.quarantine.reports(crashDigest, now)
 	g.balancerMu.Lock()
 	defer g.balancerMu.Unlock()
-	now := time.Now()
 	return anvilmodel.LeafAnnouncements{
-		Departures: g.balancer.DeparturesToAnnounce(now),
-		RateLimits: g.balancer.RateLimitsToAnnounce(now),
+		Departures:   g.balancer.DeparturesToAnnounce(now),
+		RateLimits:   g.balancer.RateLimitsToAnnounce(now),
+		CrashReports: reports,
+		CrashDigest:  ownDigest,
 	}
 }
 
 // mergeAnnouncements records the announcements of leaves that another node passed on, and
-// reports whether a departure was new.
+// reports whether a departure, or a suspected or quarantined request, was new.
 func (g *Gateway) mergeAnnouncements(announced anvilmodel.LeafAnnouncements) bool {
 	var departed []anvilmodel.LeafName
 	var limited []anvilmodel.RateLimitNotice
@@ -141,7 +145,8 @@
 	for _, n := range limited {
 		g.logRateLimit(n.Leaf, n.RateLimit, "other node")
 	}
-	return len(departed) > 0
+	restricted := g.quarantine.merge(announced.CrashReports, now)
+	return len(departed) > 0 || restricted
 }
 
 // logRateLimit logs a change of the rate limit that a leaf announces.
--- a/anvilgather/request.go
+++ b/anvilgather/request.go
@@ -50,6 +50,9 @@
 	HedgeDelay time.Duration
 	// Overloaded is set while the leaves have more queries than they can answer in time.
 	Overloaded bool
+	// Trial is set if the request may crash the leaf that runs it: it is sent to a single leaf
+	// first, and to others only once that has answered.
+	Trial bool
 	// Available reports whether a service has leaves that can be called.
 	Available func(name anvilmodel.ServiceName, now time.Time) bool
 	// Deferral returns the time until the first leaf of a service accepts calls of this node
@@ -73,6 +76,8 @@
 	// mayHaveRun is set once a call has run or may have run.
 	mayHaveRun bool
 	finished   bool
+	// inTrial is set until a leaf has answered a request that gets a trial.
+	inTrial bool
 	// answerAt is when a query that has reached its minimum coverage is answered.
 	answerAt time.Time
 	// medianAt is when half of the parts were answered; zero before.
@@ -111,6 +116,7 @@
 		parts:    make([]part, len(c.Services)),
 		calls:    make([]call, 0, len(c.Services)+len(c.Services)/4),
 		required: 1,
+		inTrial:  c.Trial,
 	}
 	if c.Route.FansOut() {
 		r.required = c.Route.MinShards()
@@ -136,12 +142,23 @@
 		r.lastPickStatus = anvilbalance.PickNoLeaf
 		return r.finish(FinishRefused, r.firstFailureCause(), now, actions)
 	}
+	actions = r.sendFirstCalls(now, actions)
+	return r.finishIfDue(now, actions)
+}
+
+// sendFirstCalls sends the first call of each part that has none. During a trial it sends a
+// single call, unless one is in flight or postponed.
+func (r *Request) sendFirstCalls(now time.Time, actions []Action) []Action {
 	for i := range r.parts {
-		if !r.parts[i].failed {
+		p := &r.parts[i]
+		if r.inTrial && (r.inFlight > 0 || !p.retryAt.IsZero()) {
+			break
+		}
+		if !p.failed && !p.answered && len(p.tried) == 0 && p.retryAt.IsZero() {
 			actions = r.sendCall(i, anvilbalance.CallFirst, now, actions)
 		}
 	}
-	return r.finishIfDue(now, actions)
+	return actions
 }
 
 // HandleOutcome processes the outcome of a call.
@@ -170,12 +187,22 @@
 			p.failed = false
 			r.failed--
 		}
+		if r.inTrial {
+			r.inTrial = false
+			actions = r.sendFirstCalls(now, actions)
+		}
 		return r.finishIfDue(now, actions)
 	}
 	p.cause = causeOfOutcome(outcome)
+	if r.inTrial && !outcome.NotRun() {
+		return r.finish(FinishFailed, p.cause, now, actions)
+	}
 	if p.inFlight == 0 && !p.failed {
 		actions = r.retry(c.part, outcome, now, actions)
 	}
+	if r.inTrial {
+		actions = r.sendFirstCalls(now, actions)
+	}
 	return r.finishIfDue(now, actions)
 }
 
@@ -278,6 +305,9 @@
 		}
 		actions = r.sendCall(i, p.retryKind, now, actions)
 	}
+	if r.inTrial {
+		actions = r.sendFirstCalls(now, actions)
+	}
 	return r.finishIfDue(now, actions)
 }
 
@@ -297,7 +327,7 @@
 // hedge sends a second call for a part whose only call in flight is overdue.
 func (r *Request) hedge(partIndex int, now time.Time, actions []Action) []Action {
 	p := &r.parts[partIndex]
-	if p.answered || p.failed || p.inFlight != 1 || r.config.Route.NonIdempotent || len(p.tried) >= r.config.Route.MaxAttempts {
+	if r.inTrial || p.answered || p.failed || p.inFlight != 1 || r.config.Route.NonIdempotent || len(p.tried) >= r.config.Route.MaxAttempts {
 		return actions
 	}
 	return r.sendCall(partIndex, anvilbalance.CallHedge, now, actions)
--- a/anvilgather/request_test.go
+++ b/anvilgather/request_test.go
@@ -28,6 +28,8 @@
 	unavailable map[anvilmodel.ServiceName]bool
 	// deferrals holds the time for which the leaves of a service accept no calls.
 	deferrals map[anvilmodel.ServiceName]time.Duration
+	// trial makes the request a trial.
+	trial bool
 }
 
 func (s *fakeShards) available(name anvilmodel.ServiceName, _ time.Time) bool {
@@ -57,6 +59,7 @@
 		ArrivedAt:  start,
 		Timeout:    800 * time.Millisecond,
 		HedgeDelay: 40 * time.Millisecond,
+		Trial:      s.trial,
 		Available:  s.available,
 		Deferral:   s.deferral,
 		Pick:       s.pick,
@@ -269,7 +272,7 @@
 
 // Guards against a non-idempotent request that runs twice, a refusal of a request that may
 // have run, calls to more leaves than the route allows, and a request that does not end
-// before its timeout.
+// before its timeout, and a trial that is sent to more than one leaf before one has answered.
 func TestRequestInvariants(t *testing.T) {
 	outcomes := []anvilbalance.Outcome{
 		anvilbalance.OutcomeGood, anvilbalance.OutcomeFailed, anvilbalance.OutcomeShed, anvilbalance.OutcomeMisdirected,
@@ -284,7 +287,11 @@
 		if parts == 1 {
 			route.NonIdempotent = rapid.Bool().Draw(t, "non-idempotent")
 		}
-		r := newRequest(&fakeShards{leaves: 3}, route, parts)
+		shards := &fakeShards{
+			leaves: 3,
+			trial:  rapid.Bool().Draw(t, "trial"),
+		}
+		r := newRequest(shards, route, parts)
 		callsPerPart := make(map[int]int)
 		var inFlight []anvilgather.Action
 		mayHaveRun, sentAgain, good := false, false, 0
@@ -294,6 +301,9 @@
 			for _, a := range actionsOfKind(actions, anvilgather.ActionCall) {
 				inFlight = append(inFlight, a)
 				callsPerPart[a.PartIndex]++
+				if shards.trial && good == 0 && (mayHaveRun || len(inFlight) > 1) {
+					t.Fatal("a trial was sent to a second leaf before the first one answered")
+				}
 				sentAgain = sentAgain || mayHaveRun || len(inFlight) > 1
 			}
 			if f := describeFinish(actions); f != "" {
@@ -343,6 +353,40 @@
 	})
 }
 
+// Guards against a request that crashes all leaves again when it comes again, and against one
+// that is not served although its first leaf has answered.
+func TestTrialStartsWithOneLeaf(t *testing.T) {
+	for _, c := range []struct {
+		outcome anvilbalance.Outcome
+		calls   int
+		finish  string
+	}{
+		{anvilbalance.OutcomeGood, 4, ""},
+		{anvilbalance.OutcomeShed, 1, ""},
+		{anvilbalance.OutcomeLost, 0, "failed leaf-lost"},
+		{anvilbalance.OutcomeTimeout, 0, "failed timeout"},
+	} {
+		r := newRequest(&fakeShards{
+			leaves: 3,
+			trial:  true,
+		}, anvilroute.Route{}, 5)
+		actions := r.Start(start, nil)
+		if calls := actionsOfKind(actions, anvilgather.ActionCall); len(calls) != 1 {
+			t.Fatalf("%d calls at the start of a trial, want 1", len(calls))
+		}
+		if late := r.Tick(start.Add(50*time.Millisecond), nil); len(actionsOfKind(late, anvilgather.ActionCall)) > 0 {
+			t.Error("the call of a trial is hedged")
+		}
+		actions = r.HandleOutcome(0, c.outcome, start.Add(60*time.Millisecond), nil)
+		if calls := actionsOfKind(actions, anvilgather.ActionCall); len(calls) != c.calls {
+			t.Errorf("outcome %s: %d calls, want %d", c.outcome, len(calls), c.calls)
+		}
+		if diff := cmp.Diff(c.finish, describeFinish(actions)); diff != "" {
+			t.Errorf("outcome %s (-want +got):\n%s", c.outcome, diff)
+		}
+	}
+}
+
 // Guards against records that are lost, duplicated or out of order.
 func TestMergeTop(t *testing.T) {
 	record := func(b byte) []byte {
--- a/anvilpeer/published_test.go
+++ b/anvilpeer/published_test.go
@@ -15,6 +15,7 @@
 	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
 	"anvilbridge/anvilpeer"
+	"anvilbridge/anvilquarantine"
 )
 
 // TestLargeItemsAreCompressed guards against configurations that are sent uncompressed
@@ -89,11 +90,25 @@
 			Leaf: "d",
 			Age:  time.Millisecond,
 		}},
+		CrashReports: []anvilmodel.CrashReport{
+			{
+				Fingerprint: anvilmodel.Fingerprint{1, 2, 3},
+				Crashes:     []uint64{4, 1 << 63},
+				Quarantined: true,
+				Age:         time.Second,
+			},
+			{
+				Crashes: []uint64{5},
+			},
+		},
+		CrashDigest: 1 << 63,
 	}
 	reads := []anvilmirror.StoreRead{{
 		Node:       "vm-3",
 		SuccessAge: time.Second,
 	}}
+	want.Announcements.CrashReports = requested.CrashReports
+	want.Announcements.CrashDigest = requested.CrashDigest
 	p := (&testPeer{}).start(t, anvilpeer.Handlers{
 		Published: func(_ context.Context, request anvilpeer.PublishedRequest) anvilpeer.PublishedReply {
 			if diff := cmp.Diff(uint64(2), request.Era); diff != "" {
@@ -203,3 +218,40 @@
 		}
 	}
 }
+
+// Guards against a message with crash reports that takes more than half of the 4 KB that a node
+// spends on control in a second.
+func TestCrashReportsAreSmall(t *testing.T) {
+	const maxBytes = 2 << 10
+	var reply anvilpeer.PublishedReply
+	for i := range anvilquarantine.MaxReports {
+		reply.Announcements.CrashReports = append(reply.Announcements.CrashReports, anvilmodel.CrashReport{
+			Fingerprint: anvilmodel.Fingerprint{byte(i)},
+			Crashes:     []uint64{1, 2, 3},
+			Quarantined: true,
+			Age:         10 * time.Minute,
+		})
+	}
+	p := (&testPeer{}).start(t, anvilpeer.Handlers{
+		Published: func(context.Context, anvilpeer.PublishedRequest) anvilpeer.PublishedReply { return reply },
+	})
+	var transferred atomic.Int64
+	client := anvilpeer.NewClient(anvilpeer.ClientConfig{
+		Dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			var d net.Dialer
+			conn, err := d.DialContext(ctx, "tcp", address.String())
+			return countingConn{
+				Conn:  conn,
+				bytes: &transferred,
+			}, err
+		},
+	})
+	defer func() { _ = client.Close() }()
+	if _, err := client.Published(t.Context(), p.address, anvilpeer.PublishedRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	if got := transferred.Load(); got > maxBytes {
+		t.Errorf("request and reply with %d crash reports took %d bytes, want at most %d", anvilquarantine.MaxReports, got, maxBytes)
+	}
+	t.Logf("request and reply with %d crash reports took %d bytes", anvilquarantine.MaxReports, transferred.Load())
+}
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -56,6 +56,9 @@
 		Departures: encodeDepartures(request.Announcements.Departures),
 		RateLimits: encodeRateLimits(request.Announcements.RateLimits),
 		StoreReads: encodeStoreReads(request.StoreReads),
+
+		CrashReports: encodeCrashReports(request.Announcements.CrashReports),
+		CrashDigest:  request.Announcements.CrashDigest,
 	}
 }
 
@@ -68,8 +71,10 @@
 		Digest:           request.GetDigest(),
 		Wait:             time.Duration(request.GetWaitMicros()) * time.Microsecond,
 		Announcements: anvilmodel.LeafAnnouncements{
-			Departures: decodeDepartures(request.GetDepartures()),
-			RateLimits: decodeRateLimits(request.GetRateLimits()),
+			Departures:   decodeDepartures(request.GetDepartures()),
+			RateLimits:   decodeRateLimits(request.GetRateLimits()),
+			CrashReports: decodeCrashReports(request.GetCrashReports()),
+			CrashDigest:  request.GetCrashDigest(),
 		},
 		StoreReads: decodeStoreReads(request.GetStoreReads()),
 	}
@@ -84,10 +89,12 @@
 		AgeMicros: encodeAge(reply.Age),
 		Digest:    reply.Digest,
 
-		LapseMicros: reply.GraceRemaining.Microseconds(),
-		Departures:  encodeDepartures(reply.Announcements.Departures),
-		RateLimits:  encodeRateLimits(reply.Announcements.RateLimits),
-		StoreReads:  encodeStoreReads(reply.StoreReads),
+		LapseMicros:  reply.GraceRemaining.Microseconds(),
+		Departures:   encodeDepartures(reply.Announcements.Departures),
+		RateLimits:   encodeRateLimits(reply.Announcements.RateLimits),
+		StoreReads:   encodeStoreReads(reply.StoreReads),
+		CrashReports: encodeCrashReports(reply.Announcements.CrashReports),
+		CrashDigest:  reply.Announcements.CrashDigest,
 	}
 	for _, item := range reply.Items {
 		value, compressed := c.compress(item, reply.Era)
@@ -115,8 +122,10 @@
 		Age:            time.Duration(encoded.GetAgeMicros()) * time.Microsecond,
 		GraceRemaining: time.Duration(encoded.GetLapseMicros()) * time.Microsecond,
 		Announcements: anvilmodel.LeafAnnouncements{
-			Departures: decodeDepartures(encoded.GetDepartures()),
-			RateLimits: decodeRateLimits(encoded.GetRateLimits()),
+			Departures:   decodeDepartures(encoded.GetDepartures()),
+			RateLimits:   decodeRateLimits(encoded.GetRateLimits()),
+			CrashReports: decodeCrashReports(encoded.GetCrashReports()),
+			CrashDigest:  encoded.GetCrashDigest(),
 		},
 		StoreReads: decodeStoreReads(encoded.GetStoreReads()),
 	}
@@ -190,6 +199,36 @@
 	return notices
 }
 
+func encodeCrashReports(reports []anvilmodel.CrashReport) []*anvilproto.CrashReport {
+	encoded := make([]*anvilproto.CrashReport, 0, len(reports))
+	for _, r := range reports {
+		encoded = append(encoded, &anvilproto.CrashReport{
+			Fingerprint: r.Fingerprint[:],
+			Crashes:     r.Crashes,
+			Quarantined: r.Quarantined,
+			AgeMicros:   r.Age.Microseconds(),
+		})
+	}
+	return encoded
+}
+
+// decodeCrashReports skips reports whose fingerprint has another size.
+func decodeCrashReports(encoded []*anvilproto.CrashReport) []anvilmodel.CrashReport {
+	var reports []anvilmodel.CrashReport
+	for _, e := range encoded {
+		if len(e.GetFingerprint()) != anvilmodel.FingerprintSize {
+			continue
+		}
+		reports = append(reports, anvilmodel.CrashReport{
+			Fingerprint: anvilmodel.Fingerprint(e.GetFingerprint()),
+			Crashes:     e.GetCrashes(),
+			Quarantined: e.GetQuarantined(),
+			Age:         time.Duration(e.GetAgeMicros()) * time.Microsecond,
+		})
+	}
+	return reports
+}
+
 // encodeAge encodes a negative age as one that is still negative in microseconds.
 func encodeAge(age time.Duration) int64 {
 	if age < 0 {
