Reject replies of leaves with an invalid status

A caller could get an answer that no leaf had given to it. A leaf in trouble answers with status 000: the gateway took every status below 200 for an interim response and read the body of the answer as the head of the next one. A status of 600 or more was passed on to the caller.

Cause: the reader of replies knew only 'below 200' and 'final'.

Change: a status below 100 or above 599, and 101, which no request asks for, is an error; the connection is closed and the call counts as lost, as with other bytes that are no answer.

--- a/anvilgateway/call.go
+++ b/anvilgateway/call.go
@@ -329,13 +329,19 @@
 // body size.
 const chunkOverheadDivisor = 8
 
-// readResponse reads the headers of the final response. It returns TooLarge.
+// readResponse reads the headers of the final response. It returns TooLarge or InvalidStatus.
 func readResponse(conn *leafConn, request *http.Request) (*http.Response, error) {
 	conn.remaining = maxReplyHeaderBytes + readBufferSize
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(conn.reader, request)
-		if err != nil || resp.StatusCode >= 200 {
-			return resp, err
+		switch {
+		case err != nil:
+			return nil, err
+		case resp.StatusCode >= 200 && resp.StatusCode < 600:
+			return resp, nil
+		case resp.StatusCode < 100 || resp.StatusCode >= 600 || resp.StatusCode == http.StatusSwitchingProtocols:
+			// What follows on the connection is unknown, so that it cannot be read any further.
+			return nil, InvalidStatus.New("received a response with status %03d", resp.StatusCode)
 		}
 	}
 	return nil, TooLarge.New("received more than %d interim responses", maxInterimResponses)
--- a/anvilgateway/identity_test.go
+++ b/anvilgateway/identity_test.go
@@ -242,3 +242,27 @@
 		t.Errorf("answer and runs (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against an answer whose status is outside the range of HTTP and that reaches the caller,
+// and against taking the body of such an answer for the next one on the connection.
+func TestReplyWithInvalidStatusIsRejected(t *testing.T) {
+	for _, status := range []string{"000", "042", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			address, _ := startRawLeaf(t, func(id string, _ int) string {
+				body := signedRawReply(id, "body of the invalid answer")
+				return fmt.Sprintf("HTTP/1.1 %s Trouble\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", status, headerID, id, headerSignature, len(body), body)
+			})
+			s := newStore()
+			s.register(leafEntry("a1", "a", address))
+			s.configure(singleRouteConfig(singleServiceRoute("get", "/get/", "a", false)))
+			g := startReadyGateway(t, s)
+			got, err := g.send(t.Context(), http.MethodGet, "/get/x", "id-1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]any{http.StatusBadGateway, "leaf-lost\n", ""}, []any{got.status, got.body, got.header.Get(headerSignature)}); diff != "" {
+				t.Errorf("status, body and signature of the answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
