Quarantine a request only after two trials whose leaves crash

A request that callers send all the time could be refused for 5 min although leaves can run it: it is suspected because its calls were at leaves that another request has crashed, and the leaf of its trial crashes under that request, too.

Cause: the crash of a single trial counted as proof.

Change: the leaves of two trials have to crash, whichever nodes sent them; an answer in between clears the request. After the quarantine one is enough.

--- a/anvilpeer/published_test.go
+++ b/anvilpeer/published_test.go
@@ -92,10 +92,11 @@
 		}},
 		CrashReports: []anvilmodel.CrashReport{
 			{
-				Fingerprint: anvilmodel.Fingerprint{1, 2, 3},
-				Crashes:     []uint64{4, 1 << 63},
-				Quarantined: true,
-				Age:         time.Second,
+				Fingerprint:  anvilmodel.Fingerprint{1, 2, 3},
+				Crashes:      []uint64{4, 1 << 63},
+				TrialCrashes: []uint64{6},
+				Quarantined:  true,
+				Age:          time.Second,
 			},
 			{
 				Crashes: []uint64{5},
@@ -226,10 +227,11 @@
 	var reply anvilpeer.PublishedReply
 	for i := range anvilquarantine.MaxReports {
 		reply.Announcements.CrashReports = append(reply.Announcements.CrashReports, anvilmodel.CrashReport{
-			Fingerprint: anvilmodel.Fingerprint{byte(i)},
-			Crashes:     []uint64{1, 2, 3},
-			Quarantined: true,
-			Age:         10 * time.Minute,
+			Fingerprint:  anvilmodel.Fingerprint{byte(i)},
+			Crashes:      []uint64{1, 2, 3},
+			TrialCrashes: []uint64{4, 5},
+			Quarantined:  true,
+			Age:          10 * time.Minute,
 		})
 	}
 	p := (&testPeer{}).start(t, anvilpeer.Handlers{
--- a/anvilpeer/publishedcodec.go
+++ b/anvilpeer/publishedcodec.go
@@ -203,10 +203,11 @@
 	encoded := make([]*anvilproto.CrashReport, 0, len(reports))
 	for _, r := range reports {
 		encoded = append(encoded, &anvilproto.CrashReport{
-			Fingerprint: r.Fingerprint[:],
-			Crashes:     r.Crashes,
-			Quarantined: r.Quarantined,
-			AgeMicros:   r.Age.Microseconds(),
+			Fingerprint:  r.Fingerprint[:],
+			Crashes:      r.Crashes,
+			TrialCrashes: r.TrialCrashes,
+			Quarantined:  r.Quarantined,
+			AgeMicros:    r.Age.Microseconds(),
 		})
 	}
 	return encoded
@@ -220,10 +221,11 @@
 			continue
 		}
 		reports = append(reports, anvilmodel.CrashReport{
-			Fingerprint: anvilmodel.Fingerprint(e.GetFingerprint()),
-			Crashes:     e.GetCrashes(),
-			Quarantined: e.GetQuarantined(),
-			Age:         time.Duration(e.GetAgeMicros()) * time.Microsecond,
+			Fingerprint:  anvilmodel.Fingerprint(e.GetFingerprint()),
+			Crashes:      e.GetCrashes(),
+			TrialCrashes: e.GetTrialCrashes(),
+			Quarantined:  e.GetQuarantined(),
+			Age:          time.Duration(e.GetAgeMicros()) * time.Microsecond,
 		})
 	}
 	return reports
--- a/anvilquarantine/quarantine.go
+++ b/anvilquarantine/quarantine.go
@@ -5,8 +5,8 @@
 // the requests has caused it. A request that crashes leaves is never answered, though: it is
 // suspected once several leaves have crashed under it and none has answered it. A suspected
 // request is given a trial the next time it comes: it is sent to a single leaf first. If that
-// leaf answers, the request is cleared. If it crashes, the request is quarantined, which means
-// that it is refused for some time. Nodes pass on what they know.
+// leaf answers, the request is cleared. If the leaves of two trials crash, the request is
+// quarantined, which means that it is refused for some time. Nodes pass on what they know.
 package anvilquarantine
 
 import (
@@ -26,8 +26,12 @@
 	// answered until it is suspected. Two may crash under an attempt of a request to a single
 	// service by chance: the first one and that of the retry.
 	suspectCrashes = 3
-	// Duration is how long a request is refused after a trial in which the leaf crashed. Leaves
-	// that can run the request may be in place afterwards, which a further trial shows.
+	// quarantineTrials is the number of trials whose leaf has to crash until the request is
+	// quarantined. The leaf of one may crash because of another request that it runs.
+	quarantineTrials = 2
+	// Duration is how long a request is refused after the last of these trials. Leaves that can
+	// run the request may be in place afterwards, which a further trial shows; if its leaf
+	// crashes, the request is quarantined again.
 	Duration = 5 * time.Minute
 	// suspicionRetention is how long a request stays suspected after its last crash, and
 	// crashRetention how long fewer crashes are kept.
@@ -38,8 +42,8 @@
 	announceDuration = 10 * time.Second
 	// maxEntries bounds the requests that are remembered, about 150 bytes each.
 	maxEntries = 512
-	// MaxReports bounds the requests in a message, about 55 bytes each.
-	MaxReports = 32
+	// MaxReports bounds the requests in a message, about 75 bytes each.
+	MaxReports = 24
 )
 
 // Registry holds what is known of the requests under which leaves have crashed. It is not safe
@@ -49,9 +53,11 @@
 }
 
 type entry struct {
-	// crashes identifies the processes that have crashed, at most suspectCrashes.
-	crashes   []uint64
-	crashedAt time.Time
+	// crashes identifies the processes that have crashed, at most suspectCrashes, and
+	// trialCrashes those that have crashed in a trial, at most quarantineTrials.
+	crashes      []uint64
+	trialCrashes []uint64
+	crashedAt    time.Time
 	// clearedAt is when a leaf last answered the request; zero if none has.
 	clearedAt time.Time
 	// quarantinedUntil is the end of the quarantine; zero if there was none.
@@ -126,10 +132,14 @@
 func (r *Registry) RecordCrash(f anvilmodel.Fingerprint, leaf anvilmodel.LeafName, startedAt time.Time, inTrial bool, now time.Time) (status Status, changed bool) {
 	e := r.entry(f, now)
 	before := e.status(now)
-	e.addCrash(processID(leaf, startedAt))
+	process := processID(leaf, startedAt)
+	e.crashes = addProcess(e.crashes, process, suspectCrashes)
 	e.crashedAt = now
 	if inTrial {
-		e.quarantinedUntil = now.Add(Duration)
+		e.trialCrashes = addProcess(e.trialCrashes, process, quarantineTrials)
+		if len(e.trialCrashes) >= quarantineTrials {
+			e.quarantinedUntil = now.Add(Duration)
+		}
 	}
 	status = e.status(now)
 	return status, status != before
@@ -144,6 +154,7 @@
 	}
 	before := e.status(now)
 	e.crashes = nil
+	e.trialCrashes = nil
 	e.quarantinedUntil = time.Time{}
 	e.clearedAt = now
 	return before != StatusAllowed
@@ -177,10 +188,12 @@
 	delete(r.entries, oldest)
 }
 
-func (e *entry) addCrash(process uint64) {
-	if len(e.crashes) < suspectCrashes && !slices.Contains(e.crashes, process) {
-		e.crashes = append(e.crashes, process)
+// addProcess adds a process to a set that has at most limit elements.
+func addProcess(set []uint64, process uint64, limit int) []uint64 {
+	if len(set) >= limit || slices.Contains(set, process) {
+		return set
 	}
+	return append(set, process)
 }
 
 // processID identifies the process of a leaf.
--- a/anvilquarantine/report.go
+++ b/anvilquarantine/report.go
@@ -35,10 +35,11 @@
 			continue
 		}
 		reports = append(reports, anvilmodel.CrashReport{
-			Fingerprint: f,
-			Crashes:     slices.Clone(e.crashes),
-			Quarantined: status == StatusQuarantined,
-			Age:         age,
+			Fingerprint:  f,
+			Crashes:      slices.Clone(e.crashes),
+			TrialCrashes: slices.Clone(e.trialCrashes),
+			Quarantined:  status == StatusQuarantined,
+			Age:          age,
 		})
 	}
 	slices.SortFunc(reports, func(a, b anvilmodel.CrashReport) int {
@@ -80,12 +81,16 @@
 		}
 		before := e.status(now)
 		for _, process := range report.Crashes {
-			e.addCrash(process)
+			e.crashes = addProcess(e.crashes, process, suspectCrashes)
+		}
+		for _, process := range report.TrialCrashes {
+			e.trialCrashes = addProcess(e.trialCrashes, process, quarantineTrials)
 		}
 		if crashedAt.After(e.crashedAt) {
 			e.crashedAt = crashedAt
 		}
-		if until := crashedAt.Add(Duration); report.Quarantined && until.After(e.quarantinedUntil) {
+		isQuarantined := report.Quarantined || len(e.trialCrashes) >= quarantineTrials
+		if until := crashedAt.Add(Duration); isQuarantined && until.After(e.quarantinedUntil) {
 			e.quarantinedUntil = until
 		}
 		if status := e.status(now); status > before {
