Pass on crashes of trials at once, and forget old ones

Requests that have not come for long were kept until the next crash, so that the fingerprint of every later request was computed.

--- a/anvilfollower/schedule_test.go
+++ b/anvilfollower/schedule_test.go
@@ -448,7 +448,7 @@
 	nodesMu.Lock()
 	_, changed := n.requests.RecordCrash(request, anvilmodel.LeafName(leaf), time.Time{}, inTrial, time.Now())
 	nodesMu.Unlock()
-	if changed {
+	if changed || inTrial {
 		n.set.Leaves.NotifyPeers()
 	}
 }
--- a/anvilgateway/quarantine.go
+++ b/anvilgateway/quarantine.go
@@ -54,10 +54,10 @@
 }
 
 // isEmpty reports whether no request is known, so that fingerprints are not needed.
-func (q *quarantine) isEmpty() bool {
+func (q *quarantine) isEmpty(now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.registry.Empty()
+	return q.registry.Empty(now)
 }
 
 func (q *quarantine) status(f anvilmodel.Fingerprint, now time.Time) (anvilquarantine.Status, time.Duration) {
@@ -69,12 +69,13 @@
 // checkQuarantine refuses a quarantined request and makes a suspected one a trial.
 func (s *servedRequest) checkQuarantine() *refusal {
 	q := s.gateway.quarantine
-	if q.isEmpty() {
+	now := time.Now()
+	if q.isEmpty(now) {
 		return nil
 	}
 	// Another attempt of the request may be in flight.
 	s.underSuspicion.Store(true)
-	status, remaining := q.status(s.fingerprint(), time.Now())
+	status, remaining := q.status(s.fingerprint(), now)
 	switch status {
 	case anvilquarantine.StatusQuarantined:
 		return newRefusal(http.StatusServiceUnavailable, "request-quarantined", remaining)
@@ -107,6 +108,9 @@
 	q.mu.Unlock()
 	if changed {
 		q.logStatus(s.fingerprint(), status, "crash")
+	}
+	if changed || s.inTrial {
+		// Another node may have seen the crash of a trial as well.
 		s.gateway.followers.Leaves.NotifyPeers()
 	}
 }
--- a/anvilquarantine/quarantine.go
+++ b/anvilquarantine/quarantine.go
@@ -50,6 +50,8 @@
 // for concurrent use.
 type Registry struct {
 	entries map[anvilmodel.Fingerprint]*entry
+	// prunedAt is when expired entries were last removed.
+	prunedAt time.Time
 }
 
 type entry struct {
@@ -112,10 +114,19 @@
 }
 
 // Empty reports whether no request is known, so that fingerprints are not needed.
-func (r *Registry) Empty() bool {
+func (r *Registry) Empty(now time.Time) bool {
+	if len(r.entries) > 0 && now.Sub(r.prunedAt) >= crashRetention {
+		r.prune(now)
+	}
 	return len(r.entries) == 0
 }
 
+// prune removes expired entries.
+func (r *Registry) prune(now time.Time) {
+	r.prunedAt = now
+	maps.DeleteFunc(r.entries, func(_ anvilmodel.Fingerprint, e *entry) bool { return e.expired(now) })
+}
+
 // Status returns the status of a request and, for a quarantined one, the time until the end of
 // the quarantine.
 func (r *Registry) Status(f anvilmodel.Fingerprint, now time.Time) (Status, time.Duration) {
@@ -171,10 +182,10 @@
 	return e
 }
 
-// evict removes expired entries and makes room for a new one: the least restricted request
-// whose last crash is the longest ago is forgotten first.
+// evict makes room for a new entry: the least restricted request whose last crash is the
+// longest ago is forgotten first.
 func (r *Registry) evict(now time.Time) {
-	maps.DeleteFunc(r.entries, func(_ anvilmodel.Fingerprint, e *entry) bool { return e.expired(now) })
+	r.prune(now)
 	if len(r.entries) < maxEntries {
 		return
 	}
--- a/anvilquarantine/quarantine_test.go
+++ b/anvilquarantine/quarantine_test.go
@@ -141,6 +141,12 @@
 	if digest == 0 {
 		t.Error("the digest of a registry with a quarantined request is 0")
 	}
+	if r.Empty(start.Add(time.Minute)) {
+		t.Error("the registry has forgotten a quarantined request")
+	}
+	if !r.Empty(start.Add(time.Hour)) {
+		t.Error("the registry keeps requests that have not come for an hour")
+	}
 }
 
 // Guards against the refusal of a request that is in use all the time: the leaf of its trial
