--- a/anvilfollower/schedule_test.go
+++ b/anvilfollower/schedule_test.go
@@ -13,6 +13,7 @@
 
 	"anvilbridge/anvilmirror"
 	"anvilbridge/anvilmodel"
+	"anvilbridge/anvilpeer"
 	"anvilbridge/anvilquarantine"
 )
 
@@ -476,3 +477,42 @@
 		}
 	}
 }
+
+// Guards against a node that learns of a suspected request only after the whole wait of its
+// poll, on each level of the replication tree, because the poll arrived just after the report:
+// in one of 40 fleets of 117 nodes the last one learned of it after 4.6 s.
+func TestPollAfterReportIsAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newStore(seed)
+		store.write(configurationKey, false)
+		store.write(leafPrefix+"1", false)
+		f := newFleet(ctx, store, 1, rand.New(rand.NewPCG(seed, 1)))
+		time.Sleep(4 * applyLimit)
+		n := f.nodes[0]
+		for i := range 3 {
+			n.recordCrash(anvilmodel.Fingerprint{1}, fmt.Sprint("leaf-", i), false)
+		}
+		poll := func(known uint64) (anvilpeer.PublishedReply, time.Duration) {
+			polledAt := time.Now()
+			reply := n.set.Leaves.ChangesSince(ctx, anvilpeer.PublishedRequest{
+				Prefix:           leafPrefix,
+				Era:              n.set.Leaves.LatestVersion().Era,
+				CompleteRevision: n.set.Leaves.CompleteVersion().Revision,
+				LatestRevision:   n.set.Leaves.LatestVersion().Revision,
+				Wait:             time.Second,
+				KnownCrashDigest: known,
+			})
+			return reply, time.Since(polledAt)
+		}
+		reply, elapsed := poll(0)
+		if elapsed > 0 || len(reply.Announcements.CrashReports) != 1 {
+			t.Errorf("answered after %s with %d reports, want 1 at once", elapsed, len(reply.Announcements.CrashReports))
+		}
+		if _, elapsed = poll(reply.Announcements.CrashDigest); elapsed < time.Second {
+			t.Errorf("a poll of a node that knows of the report was answered after %s, want 1 s", elapsed)
+		}
+		cancel()
+		f.tasks.Wait()
+	})
+}
