--- a/anvilgateway/quarantine.go
+++ b/anvilgateway/quarantine.go
@@ -50,7 +50,12 @@
 }
 
 func (q *quarantine) logStatus(f anvilmodel.Fingerprint, status anvilquarantine.Status, source string) {
-	q.log.Warn().Str("event", "request-"+status.String()).Stringer("fingerprint", f).Str("source", source).Send()
+	line := q.log.Warn().Stringer("fingerprint", f).Str("source", source)
+	if status == anvilquarantine.StatusQuarantined {
+		line.Str("event", "request-quarantined").Send()
+		return
+	}
+	line.Str("event", "request-suspected").Send()
 }
 
 // isEmpty reports whether no request is known, so that fingerprints are not needed.
