Do not renew a quarantine without a trial

Once a quarantine was over, a node refused the request for another 5 min, without a trial, as soon as another node passed on that one leaf had crashed under it, for whatever reason.

Cause: the trials of the earlier quarantine were counted for the new report.

Change: only a report that completes the trials, or that states a quarantine, begins one. TestCrashAfterQuarantineDoesNotRenewIt failed before the change (status quarantined, want suspected).

--- a/anvilquarantine/quarantine_test.go
+++ b/anvilquarantine/quarantine_test.go
@@ -74,7 +74,7 @@
 }
 
 // Guards against a request that is not suspected because the leaves crash under attempts at
-// different nodes, and against one that a node refuses longer because it heard of it late.
+// different nodes, and against one that a node refuses longer because it received the report late.
 func TestNodesAddUpCrashes(t *testing.T) {
 	nodes := []*anvilquarantine.Registry{anvilquarantine.New(), anvilquarantine.New(), anvilquarantine.New()}
 	f := fingerprint(0)
@@ -98,7 +98,7 @@
 		Status:      anvilquarantine.StatusQuarantined,
 	}}
 	if diff := cmp.Diff(want, changes); diff != "" {
-		t.Errorf("changes at a node that hears of it late (-want +got):\n%s", diff)
+		t.Errorf("changes at a node that receives the report late (-want +got):\n%s", diff)
 	}
 	checkStatus(t, nodes[1], f, late.Add(time.Second), anvilquarantine.StatusSuspected, "the quarantine is over")
 }
@@ -162,3 +162,20 @@
 	crash(r, f, true, start.Add(2*time.Second), 8)
 	checkStatus(t, r, f, start.Add(2*time.Second), anvilquarantine.StatusSuspected, "the leaf of one trial has crashed since the answer")
 }
+
+// Guards against the refusal of a request without a trial: its quarantine is over, and another
+// node passes on that a leaf has crashed under it outside a trial.
+func TestCrashAfterQuarantineDoesNotRenewIt(t *testing.T) {
+	r, other := anvilquarantine.New(), anvilquarantine.New()
+	f := fingerprint(0)
+	crash(r, f, false, start, 1, 2, 3)
+	crash(r, f, true, start, 4, 5)
+	after := start.Add(anvilquarantine.Duration)
+	crash(other, f, false, after, 6)
+	r.Merge(other.Reports(0, after), after)
+	checkStatus(t, r, f, after, anvilquarantine.StatusSuspected, "a node passes on a crash outside a trial")
+	crash(other, f, false, after, 7, 8)
+	crash(other, f, true, after, 9, 10)
+	r.Merge(other.Reports(0, after), after)
+	checkStatus(t, r, f, after, anvilquarantine.StatusQuarantined, "a node passes on a new quarantine")
+}
--- a/anvilquarantine/report.go
+++ b/anvilquarantine/report.go
@@ -80,6 +80,7 @@
 			continue
 		}
 		before := e.status(now)
+		trialsBefore := len(e.trialCrashes)
 		for _, process := range report.Crashes {
 			e.crashes = addProcess(e.crashes, process, suspectCrashes)
 		}
@@ -89,7 +90,9 @@
 		if crashedAt.After(e.crashedAt) {
 			e.crashedAt = crashedAt
 		}
-		isQuarantined := report.Quarantined || len(e.trialCrashes) >= quarantineTrials
+		// The trials of an earlier quarantine do not count for another one.
+		lastTrial := trialsBefore < quarantineTrials && len(e.trialCrashes) >= quarantineTrials
+		isQuarantined := report.Quarantined || lastTrial
 		if until := crashedAt.Add(Duration); isQuarantined && until.After(e.quarantinedUntil) {
 			e.quarantinedUntil = until
 		}
