--- a/anvilbalance/restored.go
+++ b/anvilbalance/restored.go
@@ -42,8 +42,9 @@
 }
 
 // RestoreLeaf sets the entry of a leaf in a store that has been restored from an older copy,
-// and reports whether it differs from what is known to be later. An entry that was removed
-// before the restore is used only after a health check, because the leaf may have left.
+// and reports whether it did. It ignores an entry of an earlier process or report than the one
+// that is known. A leaf whose entry was removed before the restore is used only after a health
+// check, because it may have left.
 func (b *Balancer) RestoreLeaf(l Leaf, now time.Time) bool {
 	if state := b.leaves[l.Name]; state != nil {
 		if state.leaf.isLater(l) {
--- a/anvilquarantine/quarantine.go
+++ b/anvilquarantine/quarantine.go
@@ -6,7 +6,8 @@
 // suspected once several leaves have crashed under it and none has answered it. A suspected
 // request is given a trial the next time it comes: it is sent to a single leaf first. If that
 // leaf answers, the request is cleared. If the leaves of two trials crash, the request is
-// quarantined, which means that it is refused for some time. Nodes pass on what they know.
+// quarantined, which means that it is refused for some time. Nodes pass the crashes on to each
+// other.
 package anvilquarantine
 
 import (
@@ -78,7 +79,7 @@
 
 // Statuses of a request, from the least to the most restrictive.
 const (
-	// StatusAllowed means that nothing speaks against the request.
+	// StatusAllowed means that the request is sent to leaves without restriction.
 	StatusAllowed Status = iota
 	// StatusSuspected means that the request gets a trial.
 	StatusSuspected
